--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,632 @@
+// Package balance decides, for one node, which server each flow goes to.
+//
+// A caller makes one Balancer with New and reaches it through Round, once a round with events: the function
+// given to Round calls List, Demand, Opened, Established, Ended, Expired, Load, Slow, Probed and Tick, and the
+// decisions go to the Writer. Flow, Server, Settings and Writer are in types.go. Times are microseconds.
+package balance
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+)
+
+const (
+	marginAbs   = 20_000 // a challenger must win by this and
+	marginShare = 0.25   // by this share of the leader's latency
+	capFactor   = 1.10   // a server may hold this times the mean load for its size
+	capFloor    = 1.0    // and this many usual flows besides
+	probeEvery  = 5_000_000
+	probeSoon   = 700_000 // for skipped servers
+	failStreak  = 3       // failed set-ups in a row that skip a server
+	goodStreak  = 2       // good probes in a row that bring it back
+	rampTime    = 10_000_000
+	rampStart   = 0.3
+	keepRank    = 32  // samples in a server's histogram before it is halved
+	keepAll     = 256 // samples in a node's
+	slowHold    = 1_600_000
+	trustCut    = 0.85
+	trustLeast  = 0.1
+	trustGain   = 0.03 // of Size a second
+	moveShare   = 0.10 // of a slow server's own load a second
+	logEvery    = 1_000_000
+	second      = 1_000_000
+	never       = int64(1) << 62
+)
+
+type Balancer struct {
+	set     *Settings
+	rng     *rand.Rand
+	out     Writer
+	now     int64
+	started int64
+
+	servers []*Server // as the list names them
+	order   []*Server // ranked, best first
+	void    bool
+	setups  []Hist // by service type
+	loads   []float64
+	loadN   []float64
+	placed  float64 // new connects, fading over rateTime
+	rateAt  int64
+
+	watching bool
+	asking   bool
+	askAt    int64
+	alarmAt  int64
+	logAt    int64
+}
+
+func New(set *Settings, seed int64) *Balancer {
+	n := len(set.Types)
+	return &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never,
+		setups: make([]Hist, n), loads: make([]float64, n), loadN: make([]float64, n), started: -1}
+}
+
+// Round takes in one batch and then does what falls due.
+func (b *Balancer) Round(now int64, in func(*Balancer), out Writer) {
+	b.now, b.out = now, out
+	if b.started < 0 {
+		b.started, b.rateAt, b.askAt = now, now, now
+	}
+	in(b)
+	next := b.due()
+	if next < b.alarmAt {
+		b.alarmAt = next
+		out.Alarm(next)
+	}
+}
+
+// Tick tells that an alarm has rung.
+func (b *Balancer) Tick() { b.alarmAt = never }
+
+// Demand places a new flow, or one whose last connect failed: the ordinary path.
+func (b *Balancer) Demand(f *Flow) {
+	if f.Tries >= b.set.MaxConnects || f.Deadline <= b.now {
+		b.giveUp(f)
+		return
+	}
+	if f.Tries == 0 {
+		f.load = b.usual(f)
+	}
+	s := b.pick(f)
+	if s == nil {
+		b.giveUp(f)
+		return
+	}
+	f.server, f.sent = s, b.now
+	f.Tries++
+	s.spend(f.load)
+	s.add(f)
+	b.placed++
+	b.out.Connect(f, s, b.timeout(f))
+}
+
+// pick walks the order for the first server not passed over; those that it does not beat past both margins are
+// its equals, and of them one that holds the flow's group is preferred, so that a group's shared work is paid
+// on few servers. Without one, the group's hash picks among the equals: every node comes to the same.
+func (b *Balancer) pick(f *Flow) *Server {
+	b.rank()
+	mean := b.mean()
+	var head, best, least *Server
+	var bestAt, leastAt float64
+	ranked, ready := 0, 0
+	for _, s := range b.order {
+		if !b.usable(s, f) {
+			continue
+		}
+		ready++
+		if s.latency.Total() > 0 {
+			ranked++
+		}
+		over := (s.load + f.load) / (s.weight() * mean)
+		if s.slow > 0 {
+			over += 10
+		}
+		if least == nil || over < leastAt {
+			least, leastAt = s, over
+		}
+		if s.load+f.load > capFactor*mean*s.weight()+capFloor*f.load || s.slow > 0 || b.passOver(s) {
+			continue
+		}
+		if head == nil {
+			head, best = s, s
+			bestAt = b.liking(s, f)
+		} else if !beats(head, s) {
+			if at := b.liking(s, f); at > bestAt {
+				best, bestAt = s, at
+			}
+		}
+	}
+	if ready > 1 && ranked < 2 && f.Group == nil {
+		// Fewer than two ranked: a random ready server, as the order says nothing yet.
+		n := b.rng.Intn(ready)
+		for _, s := range b.order {
+			if b.usable(s, f) {
+				if n == 0 && !b.passOver(s) {
+					return s
+				}
+				n--
+			}
+		}
+	}
+	if best != nil {
+		return best
+	}
+	if least != nil && b.cold(least) < 1 && b.passOver(least) {
+		return nil // guards a cold server when nothing else is left
+	}
+	return least
+}
+
+// liking orders equals: the group's holders first, then by the group's hash. Without a group all are alike.
+func (b *Balancer) liking(s *Server, f *Flow) float64 {
+	if f.Group == nil {
+		return 0
+	}
+	like := float64(mix(f.Group.Hash^s.Hash)>>11) / (1 << 53)
+	if f.Group.held[s] > 0 {
+		like++
+	}
+	return like
+}
+
+// usable tells whether the rules and the streaks let this flow go to this server.
+func (b *Balancer) usable(s *Server, f *Flow) bool {
+	if s.State != Up || !s.listed || s.skipped || s.fullUntil > b.now || slices.Contains(f.failed, s) {
+		return false
+	}
+	if f.maybe == nil || f.Type.Effect == Repeatable {
+		return true
+	}
+	// Guards against an effect taking place twice: what may have run goes on only where repeats are known.
+	return f.Type.Effect == Referenced && b.now <= f.maybeAt+f.Type.Window && f.Type.sameGroup(s, f.maybe)
+}
+
+func (t *ServiceType) sameGroup(s, o *Server) bool {
+	switch t.Scope {
+	case ScopeZone:
+		return s.Zone == o.Zone
+	case ScopeCell:
+		return s.Cell == o.Cell
+	}
+	return true
+}
+
+// passOver decides by chance whether a fresh server is left out this time; the budget holds over any window.
+func (b *Balancer) passOver(s *Server) bool {
+	w := b.warmth(s)
+	if w >= 1 {
+		return false
+	}
+	if b.cold(s) < 1 {
+		s.fill(b)
+		if s.budget < 1 {
+			return true
+		}
+	}
+	return b.rng.Float64() >= w
+}
+
+// cold is the share of a freshly started server's capacity that can be counted on now.
+func (b *Balancer) cold(s *Server) float64 {
+	if s.Started == 0 || b.set.ColdTime == 0 || b.now >= s.Started+b.set.ColdTime {
+		return 1
+	}
+	done := float64(max(b.now-s.Started, 0)) / float64(b.set.ColdTime)
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*done
+}
+
+func (b *Balancer) warmth(s *Server) float64 {
+	w := b.cold(s)
+	if b.now < s.rampTo {
+		done := float64(b.now-s.rampFrom) / float64(s.rampTo-s.rampFrom)
+		w = min(w, rampStart+(1-rampStart)*done)
+	}
+	return w
+}
+
+// fill earns a cold server its connects: this node's usual rate for one server, times the warm share.
+// Guards against all nodes together pushing over a cold server, the first instant included.
+func (s *Server) fill(b *Balancer) {
+	n := max(len(b.servers), 1)
+	rate := b.rate() / float64(n)
+	s.budget = min(s.budget+rate*1.2*b.cold(s)*float64(b.now-s.budgetAt)/second, 1.5)
+	s.budgetAt = b.now
+}
+
+func (s *Server) spend(load float64) { s.budget = max(s.budget-1, 0) }
+
+// rate is this node's connects a second, over the last half minute or so.
+func (b *Balancer) rate() float64 {
+	const rateTime = 20 * second
+	if age := b.now - b.rateAt; age > second {
+		b.placed *= 1 - min(float64(age)/rateTime, 1)
+		b.rateAt = b.now
+	}
+	return b.placed / (float64(min(max(b.now-b.started, second), rateTime)) / second)
+}
+
+// usual is the load to count for a flow until the node is told: the hint, or the mean of its service type.
+func (b *Balancer) usual(f *Flow) float64 {
+	if f.Hint > 0 {
+		return f.Hint
+	}
+	if n := b.loadN[f.TypeNo]; n >= 1 {
+		return b.loads[f.TypeNo] / n
+	}
+	sum, n := 0.0, 0.0
+	for i := range b.loads {
+		sum += b.loads[i]
+		n += b.loadN[i]
+	}
+	if n >= 1 {
+		return sum / n
+	}
+	return 30_000
+}
+
+// mean is the own load per unit of size over the servers that take flows.
+func (b *Balancer) mean() float64 {
+	load, size := 0.0, 0.0
+	for _, s := range b.order {
+		if s.State == Up && s.listed && !s.skipped {
+			load += s.load
+			size += s.weight()
+		}
+	}
+	return max(load, 1) / max(size, 0.001)
+}
+
+// rank keeps the order: any change to the list voids it, otherwise a challenger must win by both margins.
+func (b *Balancer) rank() {
+	if !b.void {
+		return
+	}
+	b.void = false
+	b.order = b.order[:0]
+	sum, n := int64(0), int64(0)
+	for _, s := range b.servers {
+		if s.latency.Total() > 0 {
+			sum += s.rank
+			n++
+		}
+	}
+	for _, s := range b.servers {
+		if s.latency.Total() == 0 && n > 0 {
+			s.rank = sum / n
+		}
+		b.order = append(b.order, s)
+	}
+	slices.SortStableFunc(b.order, func(x, y *Server) int { return int(x.rank/1000 - y.rank/1000) })
+}
+
+func beats(challenger, leader *Server) bool {
+	win := leader.rank - challenger.rank
+	return win > marginAbs && float64(win) > marginShare*float64(leader.rank)
+}
+
+// measure takes a latency sample and moves the server in the order, past both margins only.
+func (b *Balancer) measure(s *Server, us int64) {
+	s.latency.Add(us, keepRank)
+	s.rank = s.latency.Quantile(0.5)
+	if b.void {
+		return
+	}
+	i := slices.Index(b.order, s)
+	for ; i > 0 && beats(s, b.order[i-1]); i-- {
+		b.order[i], b.order[i-1] = b.order[i-1], s
+	}
+	for ; i >= 0 && i+1 < len(b.order) && beats(b.order[i+1], s); i++ {
+		b.order[i], b.order[i+1] = b.order[i+1], s
+	}
+}
+
+// timeout leaves room for a second connect before the setup target, unless set-ups are slow everywhere: then
+// the cause is shared, and giving up early would only ask for the same work again.
+func (b *Balancer) timeout(f *Flow) int64 {
+	left := f.Deadline - b.now
+	h := &b.setups[f.TypeNo]
+	if f.Tries >= b.set.MaxConnects || h.Total() < 8 {
+		return left
+	}
+	t := max(3*h.Quantile(0.9), f.Type.SetupTarget/2)
+	if t > left*2/3 {
+		return left
+	}
+	return t
+}
+
+// giveUp answers for good, at once. A reject promises that trying again is harmless.
+func (b *Balancer) giveUp(f *Flow) {
+	if f.maybe == nil || f.Type.Effect == Repeatable || f.Type.Effect == Referenced && f.Type.Scope == ScopeAll {
+		wait := int64(0)
+		if b.set.RetryAfter {
+			wait = b.set.MaxWait / 2
+		}
+		b.log("shedding: no server for a flow")
+		b.out.Reject(f, wait)
+		return
+	}
+	b.out.Abort(f)
+}
+
+// Opened takes over a connection that stood before this node saw it.
+func (b *Balancer) Opened(f *Flow, s *Server) {
+	f.server, f.open, f.since = s, true, b.now
+	f.Tries = 1
+	f.load = b.usual(f)
+	s.add(f)
+}
+
+// Established tells that the connect stands.
+func (b *Balancer) Established(f *Flow, took int64) {
+	s := f.server
+	f.open, f.since = true, b.now
+	s.failures = 0
+	b.setups[f.TypeNo].Add(took, keepAll)
+	b.measure(s, took)
+}
+
+// Ended tells how a connect ended; over says that the flow has its answer.
+func (b *Balancer) Ended(f *Flow, s *Server, end Outcome, took int64, over bool) {
+	wasOpen := f.open
+	s.remove(f)
+	f.open = false
+	if !end.neverRan() && f.maybe == nil {
+		f.maybe, f.maybeAt = s, f.sent
+	}
+	if !wasOpen && !over {
+		switch end {
+		case Saturated:
+			s.fullUntil = b.now + second/2 // full, not sick
+		case Unreachable, Overdue, Severed, Errored:
+			b.failed(s, f, end, took)
+		}
+	}
+	if over {
+		return
+	}
+	if f.Deadline-b.now < 2_000 || end == Superseded {
+		b.giveUp(f)
+		return
+	}
+	f.failed = append(f.failed, s)
+	b.Demand(f)
+}
+
+// failed counts set-ups that fail in a row. When most servers fail at once the cause is shared, and skipping
+// them all would leave none.
+func (b *Balancer) failed(s *Server, f *Flow, end Outcome, took int64) {
+	if end == Overdue {
+		b.setups[f.TypeNo].Add(took, keepAll)
+		b.measure(s, took)
+	}
+	s.failures++
+	s.failedAt = b.now
+	if s.skipped || s.failures < failStreak {
+		return
+	}
+	failing := 0
+	for _, o := range b.servers {
+		if o.failures > 0 && b.now-o.failedAt < 3*second {
+			failing++
+		}
+	}
+	if 2*failing <= len(b.servers) || end == Unreachable {
+		b.skip(s, "set-ups fail")
+	}
+}
+
+func (b *Balancer) skip(s *Server, why string) {
+	s.skipped, s.streak = true, 0
+	s.probeAt = min(s.probeAt, b.now+b.jitter(probeSoon))
+	b.log("skipped " + s.Name + ": " + why)
+}
+
+// Expired tells that the client left, or its time ran out.
+func (b *Balancer) Expired(f *Flow) {}
+
+// Load tells what an open flow asks for now.
+func (b *Balancer) Load(f *Flow, perSecond float64) {
+	if !f.open {
+		return
+	}
+	f.server.load += perSecond - f.load
+	f.load = perSecond
+	if !f.measured {
+		f.measured = true
+		if b.loadN[f.TypeNo] >= 200 {
+			b.loads[f.TypeNo] /= 2
+			b.loadN[f.TypeNo] /= 2
+		}
+		b.loads[f.TypeNo] += perSecond
+		b.loadN[f.TypeNo]++
+	}
+}
+
+// Slow tells how long messages take at a server now. The server is trusted with less, and part of this node's
+// load there is asked to come again. Guards against a server that drowns under flows already placed.
+func (b *Balancer) Slow(s *Server, us int64) {
+	limit := never
+	for i := range b.set.Types {
+		limit = min(limit, b.set.Types[i].MessageTarget)
+	}
+	if us <= limit/3 {
+		s.slow = 0
+		return
+	}
+	s.slow, s.slowAt = us, b.now
+	if b.now-s.trustAt > second/2 {
+		s.trust = max(s.trust*trustCut, trustLeast)
+		s.trustAt = b.now
+	}
+	if us > limit/2 && b.now-s.movedAt > second/2 && b.relief(s) {
+		s.movedAt = b.now
+		b.shift(s, moveShare*s.load)
+	}
+}
+
+// relief tells whether other servers could take what leaves this one.
+func (b *Balancer) relief(s *Server) bool {
+	well, all := 0, 0
+	for _, o := range b.servers {
+		if o.State == Up && o.listed {
+			all++
+			if o != s && o.slow == 0 && !o.skipped {
+				well++
+			}
+		}
+	}
+	return 3*well >= all
+}
+
+// shift moves the heaviest flows until the amount is reached; one at least.
+func (b *Balancer) shift(s *Server, amount float64) {
+	for amount > 0 {
+		var top *Flow
+		for _, f := range s.flows {
+			if f.open && !f.moved && b.now-f.since > 2*second && (top == nil || f.load > top.load) {
+				top = f
+			}
+		}
+		if top == nil {
+			return
+		}
+		top.moved = true
+		amount -= top.load
+		b.out.Move(top)
+	}
+}
+
+// Probed tells what a probe found.
+func (b *Balancer) Probed(s *Server, end Outcome, took int64) {
+	s.probeOut = false
+	if end == Completed || end == Saturated {
+		if end == Completed {
+			b.measure(s, took)
+		}
+		s.streak++
+		if s.skipped && s.streak >= goodStreak {
+			s.skipped, s.failures = false, 0
+			s.rampFrom, s.rampTo = b.now, b.now+rampTime
+			b.log("back again " + s.Name)
+		}
+		return
+	}
+	s.streak = 0
+	if !s.skipped && s.State == Up {
+		b.skip(s, "probe failed")
+	}
+}
+
+// List begins a report of the server list; Entry follows for each, then ListEnd.
+func (b *Balancer) List(kind ListKind) {
+	if kind == Refused {
+		b.watching, b.asking = false, false
+		b.askAt = b.now + second/2 + b.jitter(second/2)
+		b.log("list stale: the call failed")
+		return
+	}
+	if kind != Remembered && b.asking {
+		b.watching, b.asking = true, false
+	}
+	if kind != Changes {
+		for _, s := range b.servers {
+			s.Seen = false
+		}
+	}
+}
+
+// Entry takes one entry of the list.
+func (b *Balancer) Entry(s *Server, state State, size float64, started int64) {
+	if !s.listed {
+		s.trust, s.probeAt = 1, b.now+b.jitter(second)
+		if b.now-b.started > second && started == 0 {
+			s.rampFrom, s.rampTo = b.now, b.now+rampTime
+		}
+	}
+	if started > s.Started {
+		s.budget, s.budgetAt, s.trust = b.rng.Float64(), b.now, 1
+		s.latency.Reset()
+		s.failures, s.skipped = 0, false
+	}
+	if state != Removed && !s.listed {
+		s.listed = true
+		b.servers = append(b.servers, s)
+		b.void = true
+	}
+	if state != s.State {
+		b.void = true
+	}
+	s.State, s.Size, s.Started, s.Seen = state, size, started, true
+	if state == Removed {
+		b.drop(s)
+	}
+}
+
+// ListEnd drops what a whole list no longer names.
+func (b *Balancer) ListEnd(kind ListKind) {
+	if kind != Whole {
+		return
+	}
+	for i := len(b.servers) - 1; i >= 0; i-- {
+		if s := b.servers[i]; !s.Seen {
+			s.State = Removed
+			b.drop(s)
+		}
+	}
+}
+
+func (b *Balancer) drop(s *Server) {
+	s.listed, b.void = false, true
+	b.servers = slices.DeleteFunc(b.servers, func(o *Server) bool { return o == s })
+}
+
+// due does what time asks for and returns when it must next be called.
+func (b *Balancer) due() int64 {
+	next := never
+	if b.set.OnRequest && !b.watching {
+		if b.now >= b.askAt {
+			// Asked again well before this node would be deemed told of what it has not heard.
+			b.asking = true
+			b.askAt = b.now + b.set.AskWithin/2
+			b.out.Watch()
+		}
+		next = min(next, b.askAt)
+	}
+	for _, s := range b.servers {
+		if s.slow > 0 && b.now-s.slowAt > slowHold {
+			s.slow = 0
+		}
+		if s.trust < 1 && b.now-s.trustAt > second {
+			s.trust = min(s.trust+trustGain, 1)
+			s.trustAt = b.now
+		}
+		if !b.set.Probing || s.State != Up {
+			continue
+		}
+		if b.now >= s.probeAt && !s.probeOut {
+			s.probeOut = true
+			every := int64(probeEvery)
+			if s.skipped {
+				every = probeSoon
+			}
+			s.probeAt = b.now + every/2 + b.jitter(every/2)
+			b.out.Probe(s)
+		}
+		if !s.probeOut {
+			next = min(next, s.probeAt)
+		}
+	}
+	return next
+}
+
+func (b *Balancer) jitter(us int64) int64 { return b.rng.Int63n(us) }
+
+func (b *Balancer) log(line string) {
+	if b.now >= b.logAt {
+		b.logAt = b.now + logEvery
+		b.out.Trace(fmt.Sprintf("%s (%d servers)", line, len(b.servers)))
+	}
+}
--- /dev/null
+++ b/balance/types.go
@@ -0,0 +1,197 @@
+package balance
+
+// Effect says what a second run of a flow of this service type would do.
+type Effect uint8
+
+const (
+	Repeatable Effect = iota // may run again
+	Referenced               // a repeat is known by its mark within Scope and Window
+	OnceOnly                 // must never run twice
+)
+
+// Scope is the set of servers that drops the repeats of a referenced flow.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Outcome is how a connect or a probe ended.
+type Outcome uint8
+
+const (
+	Completed   Outcome = iota // ran to its end
+	Errored                    // the server answered with an error
+	Saturated                  // turned away unseen: full or draining
+	Overdue                    // no answer in time
+	Unreachable                // no connection could be opened
+	Severed                    // the connection broke
+	Recalled                   // called off
+	Superseded                 // never sent
+)
+
+// neverRan tells the outcomes that prove that the flow had no effect.
+func (o Outcome) neverRan() bool { return o == Saturated || o == Unreachable || o == Superseded }
+
+// Times are in microseconds throughout.
+
+type ServiceType struct {
+	SetupTarget   int64
+	MessageTarget int64
+	Effect        Effect
+	Scope         Scope
+	Window        int64
+	Benefit       float64
+}
+
+type Settings struct {
+	Types        []ServiceType
+	Zone         int
+	Balancers    int
+	MaxConnects  int
+	Probing      bool
+	OnRequest    bool  // the server list must be asked for
+	AskWithin    int64 // unasked for so long, a node is deemed told
+	RetryAfter   bool
+	MaxWait      int64
+	ColdFrom     float64
+	ColdTime     int64
+	FallMultiple float64
+	FallTime     int64
+	TenantQuota  []float64 // own share, open connections over all nodes; empty without tenants
+}
+
+// Group is a set of flows that share work on a server. Hash is the same at every node.
+type Group struct {
+	Hash uint64
+	held map[*Server]int
+}
+
+// Flow is one connection asked for by a client.
+type Flow struct {
+	Type     *ServiceType
+	TypeNo   int
+	Tenant   int
+	Group    *Group // nil without one
+	Hash     uint64 // of the flow's key
+	Deadline int64  // the client's connect timeout
+	Hint     float64
+	Returned bool // the client came back after a break or a move
+	Tries    int  // connects made
+	Ref      any  // the caller's own handle
+
+	server   *Server // of the last connect
+	sent     int64   // when it was made
+	maybe    *Server // first server that may have run it
+	maybeAt  int64
+	failed   []*Server
+	open     bool
+	moved    bool
+	since    int64
+	load     float64 // work a second
+	measured bool
+	pos      int // in server.flows
+}
+
+// State is what the server list says.
+type State uint8
+
+const (
+	Up State = iota
+	Draining
+	Removed
+)
+
+// Server is one entry of the server list and what this node has seen of it.
+type Server struct {
+	Zone, Cell int
+	Hash       uint64
+	State      State
+	Size       float64
+	Started    int64 // 0 for long ago
+	Name       string
+	Seen       bool // named by the list being read
+
+	listed    bool
+	latency   Hist
+	rank      int64 // latency the order goes by, refreshed as samples come
+	flows     []*Flow
+	load      float64 // own flows' work a second
+	pending   int
+	skipped   bool
+	streak    int // good probes in a row while skipped
+	failures  int // failed set-ups in a row
+	failedAt  int64
+	rampFrom  int64
+	rampTo    int64
+	budget    float64
+	budgetAt  int64
+	trust     float64 // of Size, cut when messages turn slow
+	trustAt   int64
+	slowAt    int64
+	slow      int64
+	movedAt   int64
+	fullUntil int64
+	probeAt   int64
+	probeOut  bool
+}
+
+// ListKind says what a list report is.
+type ListKind uint8
+
+const (
+	Changes ListKind = iota
+	Whole
+	Remembered
+	Refused
+)
+
+// Writer takes the decisions of a round, in order.
+type Writer interface {
+	Connect(f *Flow, s *Server, timeout int64)
+	Reject(f *Flow, wait int64)
+	Abort(f *Flow)
+	Move(f *Flow)
+	Probe(s *Server)
+	Watch()
+	Alarm(at int64)
+	Trace(line string)
+}
+
+func (s *Server) weight() float64 { return s.Size * s.trust }
+
+func (s *Server) add(f *Flow) {
+	f.pos = len(s.flows)
+	s.flows = append(s.flows, f)
+	s.load += f.load
+	if f.Group != nil {
+		if f.Group.held == nil {
+			f.Group.held = map[*Server]int{}
+		}
+		f.Group.held[s]++
+	}
+}
+
+func (s *Server) remove(f *Flow) {
+	last := s.flows[len(s.flows)-1]
+	s.flows[f.pos] = last
+	last.pos = f.pos
+	s.flows = s.flows[:len(s.flows)-1]
+	s.load = max(s.load-f.load, 0)
+	if f.Group != nil {
+		if f.Group.held[s]--; f.Group.held[s] <= 0 {
+			delete(f.Group.held, s)
+		}
+	}
+}
+
+// mix spreads the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
