--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,12 @@
 	placed  float64 // new connects, fading over rateTime
 	rateAt  int64
 
+	pace     float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
+	paceAt   int64
+	credit   float64
+	cutAt    int64
+	waiting  []*Flow
+
 	watching bool
 	asking   bool
 	askAt    int64
@@ -70,7 +76,7 @@
 		b.started, b.rateAt, b.askAt = now, now, now
 	}
 	in(b)
-	next := b.due()
+	next := b.release(b.due())
 	if next < b.alarmAt {
 		b.alarmAt = next
 		out.Alarm(next)
@@ -89,6 +95,9 @@
 	if f.Tries == 0 {
 		f.load = b.usual(f)
 	}
+	if b.pace > 0 && !b.paced(f) {
+		return
+	}
 	s := b.pick(f)
 	if s == nil {
 		b.giveUp(f)
@@ -98,10 +107,66 @@
 	f.Tries++
 	s.spend(f.load)
 	s.add(f)
-	b.placed++
 	b.out.Connect(f, s, b.timeout(f))
 }
 
+// paced lets a flow through while set-ups fail on many servers at once, as when a store that they share is
+// over its limit. A short wait is held; a long one is given up at once, as asking again would add to it.
+func (b *Balancer) paced(f *Flow) bool {
+	b.earn()
+	if b.credit >= 1 && len(b.waiting) == 0 {
+		b.credit--
+		return true
+	}
+	wait := int64(float64(len(b.waiting)+1) / b.pace * second)
+	if wait > f.Type.SetupTarget || b.now+2*wait > f.Deadline {
+		b.giveUp(f)
+	} else {
+		b.waiting = append(b.waiting, f)
+	}
+	return false
+}
+
+func (b *Balancer) earn() {
+	b.credit = min(b.credit+b.pace*float64(b.now-b.paceAt)/second, 2)
+	b.paceAt = b.now
+}
+
+// release sends waiting flows on as the pace allows.
+func (b *Balancer) release(next int64) int64 {
+	if b.pace > 0 {
+		b.earn()
+	}
+	for len(b.waiting) > 0 && (b.credit >= 1 || b.pace == 0) {
+		f := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		if f.gone {
+			continue
+		}
+		q := b.waiting
+		b.waiting = nil
+		b.Demand(f)
+		b.waiting = append(q, b.waiting...)
+	}
+	if len(b.waiting) > 0 {
+		next = min(next, b.now+int64(max((1-b.credit)/b.pace*second, 4000)))
+	}
+	return next
+}
+
+// strained cuts the pace below what has been established of late.
+func (b *Balancer) strained() {
+	if b.now-b.cutAt < second/2 {
+		return
+	}
+	b.cutAt = b.now
+	if b.pace == 0 {
+		b.pace, b.credit, b.paceAt = 2*b.rate()+1, 0, b.now
+	}
+	b.pace = max(b.pace*0.7, 1)
+	b.log("set-ups paced: they fail on many servers")
+}
+
 // pick walks the order for the first server not passed over; those that it does not beat past both margins are
 // its equals, and of them one that holds the flow's group is preferred, so that a group's shared work is paid
 // on few servers. Without one, the group's hash picks among the equals: every node comes to the same.
@@ -366,6 +431,13 @@
 	s.failures = 0
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
+	b.placed++
+	if b.pace > 0 {
+		b.pace *= 1.02
+		if b.now-b.cutAt > 5*second {
+			b.pace = 0
+		}
+	}
 }
 
 // Ended tells how a connect ended; over says that the flow has its answer.
@@ -404,15 +476,18 @@
 	}
 	s.failures++
 	s.failedAt = b.now
-	if s.skipped || s.failures < failStreak {
-		return
-	}
 	failing := 0
 	for _, o := range b.servers {
 		if o.failures > 0 && b.now-o.failedAt < 3*second {
 			failing++
 		}
 	}
+	if end != Unreachable && 3*failing > len(b.servers) {
+		b.strained()
+	}
+	if s.skipped || s.failures < failStreak {
+		return
+	}
 	if 2*failing <= len(b.servers) || end == Unreachable {
 		b.skip(s, "set-ups fail")
 	}
@@ -425,7 +500,7 @@
 }
 
 // Expired tells that the client left, or its time ran out.
-func (b *Balancer) Expired(f *Flow) {}
+func (b *Balancer) Expired(f *Flow) { f.gone = true }
 
 // Load tells what an open flow asks for now.
 func (b *Balancer) Load(f *Flow, perSecond float64) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -89,6 +89,7 @@
 	failed   []*Server
 	open     bool
 	moved    bool
+	gone     bool // its client left while it waited
 	since    int64
 	load     float64 // work a second
 	measured bool
