--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,10 +28,13 @@
 	trustCut    = 0.85
 	trustLeast  = 0.1
 	trustGain   = 0.03 // of Size a second
+	limitCut    = 0.9
+	limitGain   = 1.03 // a second
 	moveShare   = 0.10 // of a slow server's own load a second
 	logEvery    = 1_000_000
 	second      = 1_000_000
 	never       = int64(1) << 62
+	noLimit     = 1e18
 )
 
 type Balancer struct {
@@ -41,20 +44,21 @@
 	now     int64
 	started int64
 
-	servers []*Server // as the list names them
-	order   []*Server // ranked, best first
-	void    bool
-	setups  []Hist // by service type
-	loads   []float64
-	loadN   []float64
-	placed  float64 // new connects, fading over rateTime
-	rateAt  int64
-
-	pace     float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
-	paceAt   int64
-	credit   float64
-	cutAt    int64
-	waiting  []*Flow
+	servers  []*Server // as the list names them
+	order    []*Server // ranked, best first
+	void     bool
+	unranked bool   // fewer than two servers have been measured
+	setups   []Hist // by service type
+	loads    []float64
+	loadN    []float64
+	placed   float64 // new connects, fading over rateTime
+	rateAt   int64
+
+	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
+	paceAt  int64
+	credit  float64
+	cutAt   int64
+	waiting []*Flow
 
 	watching bool
 	asking   bool
@@ -98,6 +102,10 @@
 	if b.pace > 0 && !b.paced(f) {
 		return
 	}
+	b.connect(f)
+}
+
+func (b *Balancer) connect(f *Flow) {
 	s := b.pick(f)
 	if s == nil {
 		b.giveUp(f)
@@ -122,6 +130,7 @@
 	if wait > f.Type.SetupTarget || b.now+2*wait > f.Deadline {
 		b.giveUp(f)
 	} else {
+		f.heldTo = min(b.now+f.Type.SetupTarget, f.Deadline-f.Type.SetupTarget/4)
 		b.waiting = append(b.waiting, f)
 	}
 	return false
@@ -132,24 +141,28 @@
 	b.paceAt = b.now
 }
 
-// release sends waiting flows on as the pace allows.
+// release sends waiting flows on as the pace allows, and gives up those that have waited for a setup target.
 func (b *Balancer) release(next int64) int64 {
 	if b.pace > 0 {
 		b.earn()
 	}
-	for len(b.waiting) > 0 && (b.credit >= 1 || b.pace == 0) {
-		f := b.waiting[0]
-		b.waiting = b.waiting[1:]
-		if f.gone {
-			continue
+	queue := b.waiting
+	b.waiting = b.waiting[:0]
+	for _, f := range queue {
+		switch {
+		case f.gone:
+		case b.now >= f.heldTo:
+			b.giveUp(f)
+		case b.pace == 0 || b.credit >= 1:
+			b.credit--
+			b.connect(f)
+		default:
+			next = min(next, f.heldTo)
+			b.waiting = append(b.waiting, f)
 		}
-		q := b.waiting
-		b.waiting = nil
-		b.Demand(f)
-		b.waiting = append(q, b.waiting...)
 	}
 	if len(b.waiting) > 0 {
-		next = min(next, b.now+int64(max((1-b.credit)/b.pace*second, 4000)))
+		next = min(next, b.now+max(int64((1-b.credit)/b.pace*second), 4000))
 	}
 	return next
 }
@@ -173,28 +186,29 @@
 func (b *Balancer) pick(f *Flow) *Server {
 	b.rank()
 	mean := b.mean()
-	var head, best, least *Server
+	var head, best, least *Server // least: the least loaded for its size, when all are over the cap
 	var bestAt, leastAt float64
-	ranked, ready := 0, 0
+	ready := 0
 	for _, s := range b.order {
 		if !b.usable(s, f) {
 			continue
 		}
-		ready++
-		if s.latency.Total() > 0 {
-			ranked++
+		if s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
+			continue // Guards against feeding a server that drowns: asked again later, a flow is better served.
 		}
+		ready++
 		over := (s.load + f.load) / (s.weight() * mean)
-		if s.slow > 0 {
-			over += 10
-		}
 		if least == nil || over < leastAt {
 			least, leastAt = s, over
 		}
-		if s.load+f.load > capFactor*mean*s.weight()+capFloor*f.load || s.slow > 0 || b.passOver(s) {
+		if s.load+f.load > capFactor*mean*s.weight()+capFloor*f.load || b.passOver(s) {
 			continue
 		}
-		if head == nil {
+		if b.unranked {
+			if b.rng.Intn(ready) == 0 {
+				best = s // fewer than two ranked: a random ready server
+			}
+		} else if head == nil {
 			head, best = s, s
 			bestAt = b.liking(s, f)
 		} else if !beats(head, s) {
@@ -203,18 +217,6 @@
 			}
 		}
 	}
-	if ready > 1 && ranked < 2 && f.Group == nil {
-		// Fewer than two ranked: a random ready server, as the order says nothing yet.
-		n := b.rng.Intn(ready)
-		for _, s := range b.order {
-			if b.usable(s, f) {
-				if n == 0 && !b.passOver(s) {
-					return s
-				}
-				n--
-			}
-		}
-	}
 	if best != nil {
 		return best
 	}
@@ -357,6 +359,7 @@
 			n++
 		}
 	}
+	b.unranked = n < 2
 	for _, s := range b.servers {
 		if s.latency.Total() == 0 && n > 0 {
 			s.rank = sum / n
@@ -375,6 +378,9 @@
 func (b *Balancer) measure(s *Server, us int64) {
 	s.latency.Add(us, keepRank)
 	s.rank = s.latency.Quantile(0.5)
+	if b.unranked {
+		b.void = true
+	}
 	if b.void {
 		return
 	}
@@ -535,27 +541,14 @@
 	if b.now-s.trustAt > second/2 {
 		s.trust = max(s.trust*trustCut, trustLeast)
 		s.trustAt = b.now
+		s.limit = s.load * limitCut
 	}
-	if us > limit/2 && b.now-s.movedAt > second/2 && b.relief(s) {
+	if us > limit/2 && b.now-s.movedAt > second/2 {
 		s.movedAt = b.now
 		b.shift(s, moveShare*s.load)
 	}
 }
 
-// relief tells whether other servers could take what leaves this one.
-func (b *Balancer) relief(s *Server) bool {
-	well, all := 0, 0
-	for _, o := range b.servers {
-		if o.State == Up && o.listed {
-			all++
-			if o != s && o.slow == 0 && !o.skipped {
-				well++
-			}
-		}
-	}
-	return 3*well >= all
-}
-
 // shift moves the heaviest flows until the amount is reached; one at least.
 func (b *Balancer) shift(s *Server, amount float64) {
 	for amount > 0 {
@@ -616,13 +609,13 @@
 // Entry takes one entry of the list.
 func (b *Balancer) Entry(s *Server, state State, size float64, started int64) {
 	if !s.listed {
-		s.trust, s.probeAt = 1, b.now+b.jitter(second)
+		s.trust, s.limit, s.probeAt = 1, noLimit, b.now+b.jitter(second)
 		if b.now-b.started > second && started == 0 {
 			s.rampFrom, s.rampTo = b.now, b.now+rampTime
 		}
 	}
 	if started > s.Started {
-		s.budget, s.budgetAt, s.trust = b.rng.Float64(), b.now, 1
+		s.budget, s.budgetAt, s.trust, s.limit = b.rng.Float64(), b.now, 1, noLimit
 		s.latency.Reset()
 		s.failures, s.skipped = 0, false
 	}
@@ -676,6 +669,7 @@
 		}
 		if s.trust < 1 && b.now-s.trustAt > second {
 			s.trust = min(s.trust+trustGain, 1)
+			s.limit *= limitGain
 			s.trustAt = b.now
 		}
 		if !b.set.Probing || s.State != Up {
--- a/balance/types.go
+++ b/balance/types.go
@@ -89,7 +89,8 @@
 	failed   []*Server
 	open     bool
 	moved    bool
-	gone     bool // its client left while it waited
+	gone     bool  // its client left while it waited
+	heldTo   int64 // it waits its turn no longer than this
 	since    int64
 	load     float64 // work a second
 	measured bool
@@ -131,6 +132,7 @@
 	budgetAt  int64
 	trust     float64 // of Size, cut when messages turn slow
 	trustAt   int64
+	limit     float64 // own load it may hold, known once messages turn slow
 	slowAt    int64
 	slow      int64
 	movedAt   int64
