--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	trustCut    = 0.85
 	trustLeast  = 0.1
 	trustGain   = 0.03 // of Size a second
+	budgetShare = 0.7  // of what a cold server could bear if all nodes sent alike
 	limitCut    = 0.9
 	limitGain   = 1.03 // a second
 	moveShare   = 0.10 // of a slow server's own load a second
@@ -186,7 +187,7 @@
 func (b *Balancer) pick(f *Flow) *Server {
 	b.rank()
 	mean := b.mean()
-	var head, best, least *Server // least: the least loaded for its size, when all are over the cap
+	var head, best, least, spare *Server // least: the least loaded for its size, when all are over the cap
 	var bestAt, leastAt float64
 	ready := 0
 	for _, s := range b.order {
@@ -197,11 +198,17 @@
 			continue // Guards against feeding a server that drowns: asked again later, a flow is better served.
 		}
 		ready++
+		if b.passOver(s) {
+			if b.cold(s) >= 1 || s.budget >= 1 {
+				spare = s
+			}
+			continue
+		}
 		over := (s.load + f.load) / (s.weight() * mean)
 		if least == nil || over < leastAt {
 			least, leastAt = s, over
 		}
-		if s.load+f.load > capFactor*mean*s.weight()+capFloor*f.load || b.passOver(s) {
+		if s.load+f.load > capFactor*mean*s.weight()+capFloor*f.load {
 			continue
 		}
 		if b.unranked {
@@ -220,10 +227,10 @@
 	if best != nil {
 		return best
 	}
-	if least != nil && b.cold(least) < 1 && b.passOver(least) {
-		return nil // guards a cold server when nothing else is left
+	if least != nil {
+		return least
 	}
-	return least
+	return spare // a fresh server within its budget, when nothing else is left
 }
 
 // liking orders equals: the group's holders first, then by the group's hash. Without a group all are alike.
@@ -298,7 +305,7 @@
 func (s *Server) fill(b *Balancer) {
 	n := max(len(b.servers), 1)
 	rate := b.rate() / float64(n)
-	s.budget = min(s.budget+rate*1.2*b.cold(s)*float64(b.now-s.budgetAt)/second, 1.5)
+	s.budget = min(s.budget+rate*budgetShare*b.set.FallMultiple*b.cold(s)*float64(b.now-s.budgetAt)/second, 1.5)
 	s.budgetAt = b.now
 }
 
