--- a/balance/balance.go
+++ b/balance/balance.go
@@ -405,7 +405,7 @@
 func (b *Balancer) timeout(f *Flow) int64 {
 	left := f.Deadline - b.now
 	h := &b.setups[f.TypeNo]
-	if f.Tries >= b.set.MaxConnects || h.Total() < 8 {
+	if f.Tries >= b.set.MaxConnects || h.Total() < 8 || b.pace > 0 {
 		return left
 	}
 	t := max(3*h.Quantile(0.9), f.Type.SetupTarget/2)
