--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,7 +14,8 @@
 const (
 	marginAbs   = 20_000 // a challenger must win by this and
 	marginShare = 0.25   // by this share of the leader's latency
-	capFactor   = 1.10   // a server may hold this times the mean load for its size
+	capFactor   = 1.25   // a server may hold this times the mean load for its size
+	capGroup    = 2.0    // and this times for a flow whose group it holds
 	capFloor    = 1.0    // and this many usual flows besides
 	probeEvery  = 5_000_000
 	probeSoon   = 700_000 // for skipped servers
@@ -208,7 +209,11 @@
 		if least == nil || over < leastAt {
 			least, leastAt = s, over
 		}
-		if s.load+f.load > capFactor*mean*s.weight()+capFloor*f.load {
+		factor := capFactor
+		if f.Group != nil && f.Group.held[s] > 0 {
+			factor = capGroup
+		}
+		if s.load+f.load > factor*mean*s.weight()+capFloor*f.load {
 			continue
 		}
 		if b.unranked {
