--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,8 +32,7 @@
 	budgetShare = 0.7  // of what a cold server could bear if all nodes sent alike
 	limitCut    = 0.9
 	limitGain   = 1.03 // a second
-	reliefShare = 0.33
-	moveShare   = 0.10 // of a slow server's own load a second
+	moveShare   = 0.12 // of a slow server's own load a second
 	logEvery    = 1_000_000
 	second      = 1_000_000
 	never       = int64(1) << 62
@@ -556,23 +555,12 @@
 		s.trustAt = b.now
 		s.limit = s.load * limitCut
 	}
-	if us > limit/2 && b.now-s.movedAt > second/2 && b.relief(s) {
+	if us > limit/2 && b.now-s.movedAt > second/2 {
 		s.movedAt = b.now
-		b.shift(s, moveShare*s.load)
+		b.shift(s, moveShare*s.load*min(float64(us)/float64(limit), 3))
 	}
 }
 
-// relief tells whether other servers could take what leaves this one.
-func (b *Balancer) relief(s *Server) bool {
-	well := 0
-	for _, o := range b.servers {
-		if o != s && o.State == Up && o.slow == 0 && !o.skipped && o.load < o.limit {
-			well++
-		}
-	}
-	return float64(well) >= reliefShare*float64(len(b.servers))
-}
-
 // shift moves the heaviest flows until the amount is reached; one at least.
 func (b *Balancer) shift(s *Server, amount float64) {
 	for amount > 0 {
@@ -585,6 +573,9 @@
 		if top == nil {
 			return
 		}
+		if top.load > amount && b.rng.Float64()*top.load >= amount {
+			return // less than a flow is due: by chance, so that many nodes with few flows each do not overshoot
+		}
 		top.moved = true
 		amount -= top.load
 		b.out.Move(top)
