--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,8 +1,8 @@
 // Package balance decides, for one node, which server each flow goes to.
 //
 // A caller makes one Balancer with New and reaches it through Round, once a round with events: the function
-// given to Round calls List, Demand, Opened, Established, Ended, Expired, Load, Slow, Probed and Tick, and the
-// decisions go to the Writer. Flow, Server, Settings and Writer are in types.go. Times are microseconds.
+// given to Round calls List, Entry, ListEnd, Demand, Opened, Established, Ended, Expired, Load, Slow, Probed
+// and Tick; the decisions go to the Writer. Its interface is in types.go. Times are whole microseconds.
 package balance
 
 import (
@@ -31,8 +31,9 @@
 	trustGain   = 0.03 // of Size a second
 	budgetShare = 0.7  // of what a cold server could bear if all nodes sent alike
 	limitCut    = 0.9
-	limitGain   = 1.03 // a second
-	moveShare   = 0.12 // of a slow server's own load a second
+	limitGain   = 1.03   // a second
+	moveShare   = 0.12   // of a slow server's own load a second
+	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	logEvery    = 1_000_000
 	second      = 1_000_000
 	never       = int64(1) << 62
@@ -49,10 +50,11 @@
 	servers  []*Server // as the list names them
 	order    []*Server // ranked, best first
 	void     bool
-	unranked bool   // fewer than two servers have been measured
-	setups   []Hist // by service type
-	loads    []float64
+	unranked bool      // fewer than two servers have been measured
+	setups   []Hist    // by service type
+	loads    []float64 // by service type, the sum and the number of loads told
 	loadN    []float64
+	tightest int64   // the shortest message target
 	placed   float64 // new connects, fading over rateTime
 	rateAt   int64
 
@@ -71,8 +73,13 @@
 
 func New(set *Settings, seed int64) *Balancer {
 	n := len(set.Types)
-	return &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never,
+	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
 		setups: make([]Hist, n), loads: make([]float64, n), loadN: make([]float64, n), started: -1}
+	for i, t := range set.Types {
+		b.loads[i], b.loadN[i] = firstLoad, 1
+		b.tightest = min(b.tightest, t.MessageTarget)
+	}
+	return b
 }
 
 // Round takes in one batch and then does what falls due.
@@ -92,162 +99,128 @@
 // Tick tells that an alarm has rung.
 func (b *Balancer) Tick() { b.alarmAt = never }
 
-// Demand places a new flow, or one whose last connect failed: the ordinary path.
+// Demand takes a new flow, or one whose last connect failed.
 func (b *Balancer) Demand(f *Flow) {
-	if f.Tries >= b.set.MaxConnects || f.Deadline <= b.now {
-		b.giveUp(f)
-		return
-	}
 	if f.Tries == 0 {
 		f.load = b.usual(f)
 	}
-	if b.pace > 0 && !b.paced(f) {
-		return
-	}
-	b.connect(f)
-}
-
-func (b *Balancer) connect(f *Flow) {
-	s := b.pick(f)
-	if s == nil {
-		b.giveUp(f)
-		return
-	}
-	f.server, f.sent = s, b.now
-	f.Tries++
-	s.spend(f.load)
-	s.add(f)
-	b.out.Connect(f, s, b.timeout(f))
-}
-
-// paced lets a flow through while set-ups fail on many servers at once, as when a store that they share is
-// over its limit. A short wait is held; a long one is given up at once, as asking again would add to it.
-func (b *Balancer) paced(f *Flow) bool {
-	b.earn()
-	if b.credit >= 1 && len(b.waiting) == 0 {
-		b.credit--
-		return true
-	}
-	wait := int64(float64(len(b.waiting)+1) / b.pace * second)
-	if wait > f.Type.SetupTarget || b.now+2*wait > f.Deadline {
+	if f.Tries >= b.set.MaxConnects || f.Deadline <= b.now {
 		b.giveUp(f)
-	} else {
+	} else if b.pace > 0 {
 		f.heldTo = min(b.now+f.Type.SetupTarget, f.Deadline-f.Type.SetupTarget/4)
 		b.waiting = append(b.waiting, f)
+	} else {
+		b.place(f)
 	}
-	return false
-}
-
-func (b *Balancer) earn() {
-	b.credit = min(b.credit+b.pace*float64(b.now-b.paceAt)/second, 2)
-	b.paceAt = b.now
-}
-
-// release sends waiting flows on as the pace allows, and gives up those that have waited for a setup target.
-func (b *Balancer) release(next int64) int64 {
-	if b.pace > 0 {
-		b.earn()
-	}
-	queue := b.waiting
-	b.waiting = b.waiting[:0]
-	for _, f := range queue {
-		switch {
-		case f.gone:
-		case b.now >= f.heldTo:
-			b.giveUp(f)
-		case b.pace == 0 || b.credit >= 1:
-			b.credit--
-			b.connect(f)
-		default:
-			next = min(next, f.heldTo)
-			b.waiting = append(b.waiting, f)
-		}
-	}
-	if len(b.waiting) > 0 {
-		next = min(next, b.now+max(int64((1-b.credit)/b.pace*second), 4000))
-	}
-	return next
-}
-
-// strained cuts the pace below what has been established of late.
-func (b *Balancer) strained() {
-	if b.now-b.cutAt < second/2 {
-		return
-	}
-	b.cutAt = b.now
-	if b.pace == 0 {
-		b.pace, b.credit, b.paceAt = 2*b.rate()+1, 0, b.now
-	}
-	b.pace = max(b.pace*0.7, 1)
-	b.log("set-ups paced: they fail on many servers")
 }
 
-// pick walks the order for the first server not passed over; those that it does not beat past both margins are
-// its equals, and of them one that holds the flow's group is preferred, so that a group's shared work is paid
-// on few servers. Without one, the group's hash picks among the equals: every node comes to the same.
-func (b *Balancer) pick(f *Flow) *Server {
+// place is the ordinary path. It walks the order for the first server not passed over; those that it does not
+// beat past both margins are its equals, and of them one that holds the flow's group is preferred, so that
+// the work a group shares is paid on few servers. Where none holds it, its hash picks: alike at every node.
+func (b *Balancer) place(f *Flow) {
 	b.rank()
 	mean := b.mean()
-	var head, best, least, spare *Server // least: the least loaded for its size, when all are over the cap
+	var head, best, least, spare *Server
 	var bestAt, leastAt float64
 	ready := 0
 	for _, s := range b.order {
-		if !b.usable(s, f) {
+		// Guards against feeding a server that drowns: asked again later, a flow is better served.
+		if !b.usable(s, f) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
 			continue
 		}
-		if s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
-			continue // Guards against feeding a server that drowns: asked again later, a flow is better served.
-		}
 		ready++
 		if b.passOver(s) {
-			if b.cold(s) >= 1 || s.budget >= 1 {
-				spare = s
+			if s.budget >= 1 {
+				spare = s // fresh, within its budget: taken when nothing else is left
 			}
 			continue
 		}
-		over := (s.load + f.load) / (s.weight() * mean)
-		if least == nil || over < leastAt {
-			least, leastAt = s, over
+		if over := (s.load + f.load) / s.weight(); least == nil || over < leastAt {
+			least, leastAt = s, over // for its size the least loaded: taken when all are over the cap
 		}
+		held := f.Group != nil && f.Group.held[s] > 0
 		factor := capFactor
-		if f.Group != nil && f.Group.held[s] > 0 {
+		if held {
 			factor = capGroup
 		}
 		if s.load+f.load > factor*mean*s.weight()+capFloor*f.load {
 			continue
 		}
-		if b.unranked {
+		like := 0.0
+		if f.Group != nil {
+			like = share(f.Group.Hash ^ s.Hash)
+		}
+		if held {
+			like++
+		}
+		switch {
+		case b.unranked:
 			if b.rng.Intn(ready) == 0 {
 				best = s // fewer than two ranked: a random ready server
 			}
-		} else if head == nil {
-			head, best = s, s
-			bestAt = b.liking(s, f)
-		} else if !beats(head, s) {
-			if at := b.liking(s, f); at > bestAt {
-				best, bestAt = s, at
-			}
+		case head == nil:
+			head, best, bestAt = s, s, like
+		case !beats(head, s) && like > bestAt:
+			best, bestAt = s, like
 		}
 	}
-	if best != nil {
-		return best
+	if best == nil {
+		best = least
+	}
+	if best == nil {
+		best = spare
+	}
+	if best == nil {
+		b.giveUp(f)
+		return
+	}
+	best.budget = max(best.budget-1, 0)
+	f.server, f.sent = best, b.now
+	f.Tries++
+	best.add(f)
+	b.out.Connect(f, best, b.timeout(f))
+}
+
+// strained cuts the pace of connects while set-ups fail on many servers at once, as when a store that they
+// share is over its limit: sent again at once, each failure would add to it.
+func (b *Balancer) strained() {
+	if b.now-b.cutAt < second/2 {
+		return
 	}
-	if least != nil {
-		return least
+	if b.pace == 0 {
+		b.pace, b.credit, b.paceAt = 2*b.rate()+1, 0, b.now
 	}
-	return spare // a fresh server within its budget, when nothing else is left
+	b.cutAt, b.pace = b.now, max(b.pace*0.7, 1)
+	b.log("set-ups paced: they fail on many servers")
 }
 
-// liking orders equals: the group's holders first, then by the group's hash. Without a group all are alike.
-func (b *Balancer) liking(s *Server, f *Flow) float64 {
-	if f.Group == nil {
-		return 0
+// release places waiting flows as the pace allows, and gives up at once those whose turn is more than a setup
+// target away. It returns when it must next be called.
+func (b *Balancer) release(next int64) int64 {
+	if b.pace > 0 {
+		b.credit = min(b.credit+b.pace*float64(b.now-b.paceAt)/second, 2)
+		b.paceAt = b.now
 	}
-	like := float64(mix(f.Group.Hash^s.Hash)>>11) / (1 << 53)
-	if f.Group.held[s] > 0 {
-		like++
+	queue := b.waiting
+	b.waiting = b.waiting[:0]
+	for _, f := range queue {
+		turn := b.now
+		if b.pace > 0 && b.credit < 1 {
+			turn += int64((float64(len(b.waiting)+1) - b.credit) / b.pace * second)
+		}
+		switch {
+		case f.gone:
+		case b.now >= f.heldTo || turn > f.heldTo:
+			b.giveUp(f)
+		case turn == b.now:
+			b.credit--
+			b.place(f)
+		default:
+			next = min(next, max(turn, b.now+4000))
+			b.waiting = append(b.waiting, f)
+		}
 	}
-	return like
+	return next
 }
 
 // usable tells whether the rules and the streaks let this flow go to this server.
@@ -259,63 +232,33 @@
 		return true
 	}
 	// Guards against an effect taking place twice: what may have run goes on only where repeats are known.
-	return f.Type.Effect == Referenced && b.now <= f.maybeAt+f.Type.Window && f.Type.sameGroup(s, f.maybe)
+	scope := f.Type.Scope
+	return f.Type.Effect == Referenced && b.now <= f.maybeAt+f.Type.Window && (scope == ScopeAll ||
+		scope == ScopeZone && s.Zone == f.maybe.Zone || scope == ScopeCell && s.Cell == f.maybe.Cell)
 }
 
-func (t *ServiceType) sameGroup(s, o *Server) bool {
-	switch t.Scope {
-	case ScopeZone:
-		return s.Zone == o.Zone
-	case ScopeCell:
-		return s.Cell == o.Cell
-	}
-	return true
-}
-
-// passOver decides by chance whether a fresh server is left out this time; the budget holds over any window.
+// passOver decides by chance whether a fresh server is left out this time, less often as it warms.
 func (b *Balancer) passOver(s *Server) bool {
-	w := b.warmth(s)
-	if w >= 1 {
-		return false
-	}
-	if b.cold(s) < 1 {
-		s.fill(b)
+	warm := 1.0
+	if end := s.Started + b.set.ColdTime; s.Started > 0 && b.now < end {
+		warm = 1 - (1-b.set.ColdFrom)*float64(end-b.now)/float64(b.set.ColdTime)
+		// Guards against all nodes together pushing over a cold server, over any window and from its first
+		// instant: it gets what this node usually connects to one server, times the share it can bear.
+		rate := b.rate() / float64(len(b.servers)) * warm * budgetShare * b.set.FallMultiple
+		s.budget = min(s.budget+rate*float64(b.now-s.budgetAt)/second, 1.5)
+		s.budgetAt = b.now
 		if s.budget < 1 {
 			return true
 		}
+	} else {
+		s.budget = 1
 	}
-	return b.rng.Float64() >= w
-}
-
-// cold is the share of a freshly started server's capacity that can be counted on now.
-func (b *Balancer) cold(s *Server) float64 {
-	if s.Started == 0 || b.set.ColdTime == 0 || b.now >= s.Started+b.set.ColdTime {
-		return 1
-	}
-	done := float64(max(b.now-s.Started, 0)) / float64(b.set.ColdTime)
-	return b.set.ColdFrom + (1-b.set.ColdFrom)*done
-}
-
-func (b *Balancer) warmth(s *Server) float64 {
-	w := b.cold(s)
 	if b.now < s.rampTo {
-		done := float64(b.now-s.rampFrom) / float64(s.rampTo-s.rampFrom)
-		w = min(w, rampStart+(1-rampStart)*done)
+		warm = min(warm, 1-(1-rampStart)*float64(s.rampTo-b.now)/rampTime)
 	}
-	return w
-}
-
-// fill earns a cold server its connects: this node's usual rate for one server, times the warm share.
-// Guards against all nodes together pushing over a cold server, the first instant included.
-func (s *Server) fill(b *Balancer) {
-	n := max(len(b.servers), 1)
-	rate := b.rate() / float64(n)
-	s.budget = min(s.budget+rate*budgetShare*b.set.FallMultiple*b.cold(s)*float64(b.now-s.budgetAt)/second, 1.5)
-	s.budgetAt = b.now
+	return warm < 1 && b.rng.Float64() >= warm
 }
 
-func (s *Server) spend(load float64) { s.budget = max(s.budget-1, 0) }
-
 // rate is this node's connects a second, over the last half minute or so.
 func (b *Balancer) rate() float64 {
 	const rateTime = 20 * second
@@ -331,18 +274,7 @@
 	if f.Hint > 0 {
 		return f.Hint
 	}
-	if n := b.loadN[f.TypeNo]; n >= 1 {
-		return b.loads[f.TypeNo] / n
-	}
-	sum, n := 0.0, 0.0
-	for i := range b.loads {
-		sum += b.loads[i]
-		n += b.loadN[i]
-	}
-	if n >= 1 {
-		return sum / n
-	}
-	return 30_000
+	return b.loads[f.TypeNo] / b.loadN[f.TypeNo]
 }
 
 // mean is the own load per unit of size over the servers that take flows.
@@ -410,11 +342,9 @@
 func (b *Balancer) timeout(f *Flow) int64 {
 	left := f.Deadline - b.now
 	h := &b.setups[f.TypeNo]
-	if f.Tries >= b.set.MaxConnects || h.Total() < 8 || b.pace > 0 {
-		return left
-	}
 	t := max(3*h.Quantile(0.9), f.Type.SetupTarget/2)
-	if t > left*2/3 {
+	last := f.Tries >= b.set.MaxConnects || f.Type.Effect == OnceOnly // no further connect would follow
+	if last || h.Total() < 8 || b.pace > 0 || t > left*2/3 {
 		return left
 	}
 	return t
@@ -422,16 +352,17 @@
 
 // giveUp answers for good, at once. A reject promises that trying again is harmless.
 func (b *Balancer) giveUp(f *Flow) {
-	if f.maybe == nil || f.Type.Effect == Repeatable || f.Type.Effect == Referenced && f.Type.Scope == ScopeAll {
-		wait := int64(0)
-		if b.set.RetryAfter {
-			wait = b.set.MaxWait / 2
-		}
-		b.log("shedding: no server for a flow")
-		b.out.Reject(f, wait)
+	t := f.Type
+	if f.maybe != nil && t.Effect != Repeatable && (t.Effect == OnceOnly || t.Scope != ScopeAll) {
+		b.out.Abort(f)
 		return
 	}
-	b.out.Abort(f)
+	wait := int64(0)
+	if b.set.RetryAfter {
+		wait = b.set.MaxWait / 2
+	}
+	b.log("shedding: no server for a flow")
+	b.out.Reject(f, wait)
 }
 
 // Opened takes over a connection that stood before this node saw it.
@@ -460,22 +391,19 @@
 
 // Ended tells how a connect ended; over says that the flow has its answer.
 func (b *Balancer) Ended(f *Flow, s *Server, end Outcome, took int64, over bool) {
-	wasOpen := f.open
 	s.remove(f)
 	f.open = false
+	if over {
+		return
+	}
 	if !end.neverRan() && f.maybe == nil {
 		f.maybe, f.maybeAt = s, f.sent
 	}
-	if !wasOpen && !over {
-		switch end {
-		case Saturated:
-			s.fullUntil = b.now + second/2 // full, not sick
-		case Unreachable, Overdue, Severed, Errored:
-			b.failed(s, f, end, took)
-		}
-	}
-	if over {
-		return
+	switch end {
+	case Saturated:
+		s.fullUntil = b.now + second/2 // full, not sick
+	case Unreachable, Overdue, Severed, Errored:
+		b.failed(s, f, end, took)
 	}
 	if f.Deadline-b.now < 2_000 || end == Superseded {
 		b.giveUp(f)
@@ -527,25 +455,22 @@
 	}
 	f.server.load += perSecond - f.load
 	f.load = perSecond
-	if !f.measured {
-		f.measured = true
-		if b.loadN[f.TypeNo] >= 200 {
-			b.loads[f.TypeNo] /= 2
-			b.loadN[f.TypeNo] /= 2
-		}
-		b.loads[f.TypeNo] += perSecond
-		b.loadN[f.TypeNo]++
+	if f.measured {
+		return
+	}
+	f.measured = true
+	if b.loadN[f.TypeNo] >= 200 {
+		b.loads[f.TypeNo] /= 2
+		b.loadN[f.TypeNo] /= 2
 	}
+	b.loads[f.TypeNo] += perSecond
+	b.loadN[f.TypeNo]++
 }
 
 // Slow tells how long messages take at a server now. The server is trusted with less, and part of this node's
 // load there is asked to come again. Guards against a server that drowns under flows already placed.
 func (b *Balancer) Slow(s *Server, us int64) {
-	limit := never
-	for i := range b.set.Types {
-		limit = min(limit, b.set.Types[i].MessageTarget)
-	}
-	if us <= limit/3 {
+	if us <= b.tightest/3 {
 		s.slow = 0
 		return
 	}
@@ -555,9 +480,9 @@
 		s.trustAt = b.now
 		s.limit = s.load * limitCut
 	}
-	if us > limit/2 && b.now-s.movedAt > second/2 {
+	if us > b.tightest/2 && b.now-s.movedAt > second/2 {
 		s.movedAt = b.now
-		b.shift(s, moveShare*s.load*min(float64(us)/float64(limit), 3))
+		b.shift(s, moveShare*s.load*min(float64(us)/float64(b.tightest), 3))
 	}
 }
 
@@ -585,10 +510,8 @@
 // Probed tells what a probe found.
 func (b *Balancer) Probed(s *Server, end Outcome, took int64) {
 	s.probeOut = false
-	if end == Completed || end == Saturated {
-		if end == Completed {
-			b.measure(s, took)
-		}
+	if end == Completed {
+		b.measure(s, took)
 		s.streak++
 		if s.skipped && s.streak >= goodStreak {
 			s.skipped, s.failures = false, 0
@@ -598,7 +521,7 @@
 		return
 	}
 	s.streak = 0
-	if !s.skipped && s.State == Up {
+	if !s.skipped && s.State == Up && end != Saturated {
 		b.skip(s, "probe failed")
 	}
 }
--- a/balance/hist.go
+++ b/balance/hist.go
@@ -4,7 +4,7 @@
 
 const histBins = 16
 
-// Hist is a histogram of durations in microseconds. Bin 0 ends at 1 ms; each further bin ends at twice the last.
+// Hist is a histogram of durations in microseconds. Bin 0 ends at 1 ms, each further bin at twice the last.
 type Hist struct {
 	bins  [histBins]uint32
 	total uint32
--- a/balance/types.go
+++ b/balance/types.go
@@ -190,11 +190,11 @@
 	}
 }
 
-// mix spreads the bits of a hash.
-func mix(x uint64) uint64 {
+// share spreads the bits of a hash and gives a number from 0 to 1.
+func share(x uint64) float64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return float64((x^x>>33)>>11) / (1 << 53)
 }
