--- a/balance/balance.go
+++ b/balance/balance.go
@@ -428,13 +428,13 @@
 			failing++
 		}
 	}
-	if end != Unreachable && 3*failing > len(b.servers) {
+	if end != Unreachable && failing > 1 && 3*failing > len(b.servers) {
 		b.strained()
 	}
 	if s.skipped || s.failures < failStreak {
 		return
 	}
-	if 2*failing <= len(b.servers) || end == Unreachable {
+	if failing < 2 || 2*failing <= len(b.servers) || end == Unreachable {
 		b.skip(s, "set-ups fail")
 	}
 }
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,355 @@
+package balance
+
+import "testing"
+
+func TestOneAnswerWhenNothingIsLeft(t *testing.T) {
+	b, w := start(1, Repeatable, ScopeAll)
+	f := b.flow()
+	f.Tries = b.set.MaxConnects
+	b.Demand(f)
+	w.want(t, "reject")
+}
+
+func TestAnswerBeforeTheConnectTimeout(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	f := b.flow()
+	b.servers[0].add(f)
+	f.server, f.Tries, f.Deadline = b.servers[0], 1, b.now
+	b.Ended(f, f.server, Overdue, second, false)
+	w.want(t, "reject")
+}
+
+func TestNothingAfterTheAnswer(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	f := b.flow()
+	b.servers[0].add(f)
+	f.server, f.Tries = b.servers[0], 1
+	b.Ended(f, f.server, Severed, second, true)
+	w.want(t)
+}
+
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		scope  Scope
+		end    Outcome
+		age    int64
+		want   string
+	}{
+		{"repeatable runs again", Repeatable, ScopeAll, Severed, 0, "connect b"},
+		{"once-only that may have run", OnceOnly, ScopeAll, Overdue, 0, "abort"},
+		{"once-only that never ran", OnceOnly, ScopeAll, Unreachable, 0, "connect b"},
+		{"referenced within all", Referenced, ScopeAll, Overdue, 0, "connect b"},
+		{"referenced past its window", Referenced, ScopeAll, Overdue, 6 * second, "reject"},
+		{"referenced out of its zone", Referenced, ScopeZone, Overdue, 0, "abort"},
+		{"referenced out of its cell", Referenced, ScopeCell, Errored, 0, "abort"},
+	} {
+		b, w := start(2, c.effect, c.scope)
+		f := b.flow()
+		b.servers[0].add(f)
+		f.server, f.Tries, f.sent = b.servers[0], 1, b.now-c.age
+		b.Ended(f, f.server, c.end, 1000, false)
+		if len(w.words) != 1 || w.words[0] != c.want {
+			t.Errorf("%s: got %v, want %s", c.name, w.words, c.want)
+		}
+	}
+}
+
+func TestReferencedGoesOnInItsZone(t *testing.T) {
+	b, w := start(3, Referenced, ScopeZone)
+	b.servers[2].Zone = b.servers[0].Zone
+	f := b.flow()
+	f.maybe, f.maybeAt, f.failed = b.servers[0], b.now, []*Server{b.servers[0]}
+	b.place(f)
+	w.want(t, "connect c")
+}
+
+func TestOnceOnlyWaitsToTheEnd(t *testing.T) {
+	b, _ := start(2, OnceOnly, ScopeAll)
+	for range 20 {
+		b.setups[0].Add(5000, keepAll)
+	}
+	if got := b.timeout(b.flow()); got != 2*second {
+		t.Fatalf("time-out %d leaves a flow that may not be sent again", got)
+	}
+}
+
+func TestDrainingAndGoneGetNothingNew(t *testing.T) {
+	b, w := start(3, Repeatable, ScopeAll)
+	b.Entry(b.servers[0], Draining, 1, 0)
+	b.Entry(b.servers[1], Removed, 1, 0)
+	for range 9 {
+		b.place(b.flow())
+	}
+	if w.count("connect b")+w.count("connect a") > 0 || w.count("connect c") != 9 {
+		t.Fatal(w.words)
+	}
+}
+
+func TestWholeListDropsWhatItDoesNotName(t *testing.T) {
+	b, _ := start(2, Repeatable, ScopeAll)
+	b.List(Whole)
+	s := b.servers[0]
+	b.Entry(s, Up, 1, 0)
+	b.ListEnd(Whole)
+	if len(b.servers) != 1 || b.servers[0] != s {
+		t.Fatal("a server left out of the whole list stays")
+	}
+}
+
+func TestColdServerKeepsToItsBudget(t *testing.T) {
+	b, w := start(4, Repeatable, ScopeAll)
+	b.placed, b.started = 200, b.now-20*second // 10 a second, 2.5 for one server
+	b.Entry(b.servers[0], Up, 1, b.now)
+	for range 300 { // 3 s
+		b.now += 10_000
+		b.place(b.flow())
+	}
+	// 2.5 a second x 0.7 x 3 x at most 0.32 warm x 3 s, and one and a half in hand.
+	if n := w.count("connect a"); n == 0 || n > 6 {
+		t.Fatalf("%d connects to a cold server in its first 3 s", n)
+	}
+}
+
+func TestOrderNeedsBothMargins(t *testing.T) {
+	for _, c := range []struct {
+		challenger, leader int64
+		want               bool
+	}{{10_000, 29_000, false}, {90_000, 115_000, false}, {60_000, 100_000, true}} {
+		if beats(&Server{rank: c.challenger}, &Server{rank: c.leader}) != c.want {
+			t.Errorf("%d against %d: not %v", c.challenger, c.leader, c.want)
+		}
+	}
+}
+
+func TestMeasureReorders(t *testing.T) {
+	b, _ := start(3, Repeatable, ScopeAll)
+	first := b.order[0]
+	b.measure(first, 15_000)
+	if b.order[0] != first {
+		t.Fatal("reordered within the margins")
+	}
+	for range 8 {
+		b.measure(first, 120_000)
+	}
+	if b.order[2] != first {
+		t.Fatal("a server far slower keeps its rank")
+	}
+}
+
+func TestListChangeVoidsTheOrder(t *testing.T) {
+	b, _ := start(2, Repeatable, ScopeAll)
+	b.Entry(&Server{Name: "x"}, Up, 1, 0)
+	b.rank()
+	if !b.order[2].listed || b.order[2].rank != 10_000 {
+		t.Fatal("a new server does not sit at the others' mean")
+	}
+}
+
+func TestUnrankedIsByChance(t *testing.T) {
+	b, w := start(3, Repeatable, ScopeAll)
+	for _, s := range b.servers {
+		s.latency.Reset()
+	}
+	b.void = true
+	for range 60 {
+		b.place(b.flow())
+		b.servers[0].load, b.servers[1].load, b.servers[2].load = 0, 0, 0
+	}
+	for _, s := range []string{"a", "b", "c"} {
+		if n := w.count("connect " + s); n < 8 {
+			t.Fatalf("%s drawn %d times in 60", s, n)
+		}
+	}
+}
+
+func TestCapPassesOver(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	b.fill(b.servers[0], 10, firstLoad)
+	b.fill(b.servers[1], 4, firstLoad)
+	b.place(b.flow())
+	w.want(t, "connect b")
+}
+
+func TestCapGoesBySize(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	b.servers[0].Size = 4
+	b.fill(b.servers[0], 10, firstLoad)
+	b.fill(b.servers[1], 5, firstLoad)
+	b.place(b.flow())
+	w.want(t, "connect a")
+}
+
+func TestGroupIsKeptTogether(t *testing.T) {
+	b, w := start(4, Repeatable, ScopeAll)
+	g := &Group{Hash: 7, held: map[*Server]int{b.servers[2]: 1}}
+	f := b.flow()
+	f.Group = g
+	b.place(f)
+	w.want(t, "connect c")
+}
+
+func TestSkippedUntilTwoGoodProbes(t *testing.T) {
+	b, _ := start(3, Repeatable, ScopeAll)
+	s := b.servers[0]
+	b.Probed(s, Overdue, second)
+	if !s.skipped {
+		t.Fatal("not skipped after a failed probe")
+	}
+	b.Probed(s, Completed, 1000)
+	if !s.skipped {
+		t.Fatal("back after one good probe")
+	}
+	b.Probed(s, Completed, 1000)
+	if s.skipped || s.rampTo != b.now+rampTime {
+		t.Fatal("not back on a ramp after two")
+	}
+}
+
+func TestFailedSetupsSkip(t *testing.T) {
+	b, _ := start(4, Repeatable, ScopeAll)
+	for range failStreak {
+		b.failed(b.servers[0], b.flow(), Unreachable, 1000)
+	}
+	if !b.servers[0].skipped {
+		t.Fatal("a server whose set-ups fail in a row is not skipped")
+	}
+}
+
+// A store that all servers share fails: port-louis, first incident.
+func TestSharedCauseSkipsNobodyAndPaces(t *testing.T) {
+	b, w := start(6, Repeatable, ScopeAll)
+	b.placed = 200
+	for range failStreak {
+		for _, s := range b.servers {
+			b.failed(s, b.flow(), Errored, 1000)
+		}
+	}
+	skipped := 0
+	for _, s := range b.servers {
+		if s.skipped {
+			skipped++
+		}
+	}
+	if skipped > 1 || b.pace == 0 {
+		t.Fatalf("%d skipped, pace %v", skipped, b.pace)
+	}
+	for range 50 {
+		b.Demand(b.flow())
+	}
+	b.now += second / 10
+	b.release(never)
+	if w.count("connect") > 3 || w.count("reject") == 0 {
+		t.Fatalf("%d connects, %d rejects", w.count("connect"), w.count("reject"))
+	}
+}
+
+func TestPacedFlowWaitsATargetAtMost(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	b.pace, b.credit, b.paceAt = 4, 0, b.now
+	b.Demand(b.flow())
+	b.pace = 0.001
+	b.now += b.set.Types[0].SetupTarget
+	b.paceAt = b.now
+	b.release(never)
+	w.want(t, "reject")
+}
+
+func TestFullIsNotSick(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	f := b.flow()
+	b.servers[0].add(f)
+	b.Ended(f, b.servers[0], Saturated, 1000, false)
+	if b.servers[0].failures > 0 || b.usable(b.servers[0], b.flow()) {
+		t.Fatal("full counts as failed, or is asked again at once")
+	}
+	w.want(t, "connect b")
+}
+
+// Drowning servers dropped flows that came back and drowned the next: the sahm incident.
+func TestSlowServerIsShieldedAndRelieved(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	s := b.servers[0]
+	b.fill(s, 20, firstLoad)
+	b.Slow(s, 120_000)
+	if n := w.count("move"); n < 3 || n > 8 {
+		t.Fatalf("%d of 20 moved", n)
+	}
+	if s.limit >= s.load || s.trust >= 1 {
+		t.Fatal("its share is not cut")
+	}
+}
+
+// Many nodes with one flow each all moved it: the kingston incident.
+func TestFewFlowsMoveByChance(t *testing.T) {
+	moves := 0
+	b, w := start(2, Repeatable, ScopeAll)
+	for range 100 {
+		s := &Server{Name: "s", Size: 1, trust: 1, limit: noLimit, listed: true}
+		b.fill(s, 1, firstLoad)
+		b.Slow(s, 60_000)
+	}
+	if moves = w.count("move"); moves < 3 || moves > 25 {
+		t.Fatalf("%d of 100 single flows moved", moves)
+	}
+}
+
+func TestAllDrowningSheds(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	for _, s := range b.servers {
+		b.fill(s, 5, firstLoad)
+		s.limit = 5 * firstLoad
+	}
+	b.place(b.flow())
+	w.want(t, "reject")
+}
+
+func TestTimeoutLeavesRoomForASecondConnect(t *testing.T) {
+	b, _ := start(2, Repeatable, ScopeAll)
+	for range 20 {
+		b.setups[0].Add(5000, keepAll)
+	}
+	if got := b.timeout(b.flow()); got > 200_000 {
+		t.Fatalf("time-out %d of a target of 300 ms", got)
+	}
+	b.pace = 5
+	if got := b.timeout(b.flow()); got != 2*second {
+		t.Fatalf("time-out %d while the cause is shared", got)
+	}
+}
+
+func TestWatchIsAskedAgain(t *testing.T) {
+	b, w := start(0, Repeatable, ScopeAll)
+	b.set.OnRequest = true
+	b.due()
+	b.List(Refused)
+	b.now += second
+	b.due()
+	b.List(Changes)
+	b.now += 20 * second
+	b.due()
+	w.want(t, "watch", "watch")
+}
+
+func TestProbesWithinFiveSeconds(t *testing.T) {
+	b, w := start(1, Repeatable, ScopeAll)
+	b.set.Probing = true
+	s := b.servers[0]
+	s.probeAt = b.now
+	b.due()
+	if next := s.probeAt - b.now; next > 5*second || next < 2*second {
+		t.Fatalf("next probe in %d", next)
+	}
+	w.want(t, "probe a")
+}
+
+func TestQuantileAndHalving(t *testing.T) {
+	var h Hist
+	for range 100 {
+		h.Add(3000, 64)
+	}
+	if q := h.Quantile(0.5); q < 2000 || q > 4000 || h.Total() > 64 {
+		t.Fatal(q, h.Total())
+	}
+}
--- /dev/null
+++ b/simwire/door_test.go
@@ -0,0 +1,72 @@
+package simwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const settings = "Balancers=1\tDiscovery=on_request\tLimits.MaxConnects=3\tLimits.MaxRetryAfterMs=1000.0\t" +
+	"Limits.Probing=false\tLimits.RetryAfter=true\tMyZone=0\tObligations.AskWithinMs=10000.0\t" +
+	"Obligations.ColdFrom=0.1\tObligations.ColdMs=20000.0\tObligations.FallMs=3000.0\t" +
+	"Obligations.FallMultiple=3.0\tServiceTypes.count=1\tServiceTypes.0.Benefit=1.0\t" +
+	"ServiceTypes.0.Effect=safe\tServiceTypes.0.SetupTargetMs=300.0\tUnheardOf=1"
+
+const begin = "mark\t1000.0\nat\t2\nconfigure\t7\t" + settings +
+	"\nannounce\tremembered\t1\t1\nitem\t10.0.0.1:70\t0\t0\t0\tup\t1\t-\nover_to_you\n"
+
+func run(t *testing.T, in string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := New(strings.NewReader(in), &out).Run()
+	return out.String(), err
+}
+
+func TestWholeBatches(t *testing.T) {
+	out, err := run(t, begin+
+		"mark\t1004.5\nat\t2\ndemand\tt/x\t0\t0\t-\t-\t-\t-\t240.25\nexpired\tt/gone\nover_to_you\n"+
+		"mark\t1010.0\nat\t2\nestablished\tt/x\t0\t5.5\t10.0.0.1:70\n"+
+		"signal\tt/x\t0\t10.0.0.1:70\t1\t500.5\nover_to_you\n"+
+		"mark\t1020.0\nat\t2\nresponse\tt/x\t0\t10.0.0.1:70\tcompleted\t20.0\t1\t-\n"+
+		"response\tt/x\t0\t10.0.0.1:70\tcompleted\t20.0\t1\t-\ntick_due\t9\nstop\nover_to_you\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := "as\t2\ntail\t1\nset_alarm\t1\t6000\nfinished\n" +
+		"as\t2\nissue\tt/x\t10.0.0.1:70\t240.250\nfinished\nfinished\nas\t2\nset_alarm\t1\t6000\nfinished\n"
+	if out != want {
+		t.Fatalf("got %q, want %q", out, want)
+	}
+}
+
+func TestEmptyBatch(t *testing.T) {
+	if out, err := run(t, "mark\t8412.25\nover_to_you\n"); out != "finished\n" || err != nil {
+		t.Fatal(out, err)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	for _, c := range []struct{ in, want string }{
+		{"mark\t10", "line 1: cut short"},
+		{"mark\tten\nover_to_you\n", "line 1: mark: field TMs is no time"},
+		{"mark\t10\n", "line 2: the input ends within a batch"},
+		{"mark\t10\nat\t1\ntick_due\t1\nover_to_you\n", "has no settings"},
+		{"mark\t10\nat\t1\nconfigure\t1\tBalancers=0\nover_to_you\n", "line 3: configure: setting"},
+		{begin + "mark\t11\nat\t2\ndemand\tt/x\t0\t0\n", "line 9: demand: field Team is missing"},
+		{begin + "mark\t11\nat\t2\ntick_due\t1\t2\n", "line 9: tick_due: 1 parts too many"},
+		{begin + "mark\t11\nat\t2\ndemand\tt/x\t0\t4\t-\t-\t-\t-\t2\n", "field Priority is 4, out of 1"},
+		{begin + "mark\t11\nat\t2\nprobed\t9.9.9.9:1\tcompleted\t1\t-\n", "field Host is not on any list"},
+		{begin + "mark\t11\nat\t2\nnonsense\t1\n", "line 9: unknown message"},
+	} {
+		if _, err := run(t, c.in); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("got %v, want %s", err, c.want)
+		}
+	}
+}
+
+func TestMissingSettingIsNamed(t *testing.T) {
+	_, err := run(t, strings.Replace(begin, "Limits.MaxConnects=3\t", "", 1))
+	if err == nil || !strings.Contains(err.Error(), "setting Limits.MaxConnects is missing") {
+		t.Fatal(err)
+	}
+}
