--- a/balance/balance.go
+++ b/balance/balance.go
@@ -342,7 +342,7 @@
 func (b *Balancer) timeout(f *Flow) int64 {
 	left := f.Deadline - b.now
 	h := &b.setups[f.TypeNo]
-	t := max(3*h.Quantile(0.9), 2*f.Type.SetupTarget)
+	t := max(16*h.Quantile(0.9), f.Type.SetupTarget)
 	last := f.Tries >= b.set.MaxConnects || f.Type.Effect == OnceOnly // no further connect would follow
 	if last || h.Total() < 8 || b.pace > 0 || t > left*2/3 {
 		return left
