--- a/balance/balance.go
+++ b/balance/balance.go
@@ -367,7 +367,7 @@
 
 // Opened takes over a connection that stood before this node saw it.
 func (b *Balancer) Opened(f *Flow, s *Server) {
-	f.server, f.open, f.since = s, true, b.now
+	f.server, f.open = s, true
 	f.Tries = 1
 	f.load = b.usual(f)
 	s.add(f)
@@ -376,7 +376,7 @@
 // Established tells that the connect stands.
 func (b *Balancer) Established(f *Flow, took int64) {
 	s := f.server
-	f.open, f.since = true, b.now
+	f.open = true
 	s.failures = 0
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
@@ -491,7 +491,7 @@
 	for amount > 0 {
 		var top *Flow
 		for _, f := range s.flows {
-			if f.open && !f.moved && b.now-f.since > 2*second && (top == nil || f.load > top.load) {
+			if f.open && !f.moved && (top == nil || f.load > top.load) {
 				top = f
 			}
 		}
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -65,7 +65,7 @@
 func (b *Balancer) fill(s *Server, n int, load float64) {
 	for range n {
 		f := b.flow()
-		f.server, f.open, f.load, f.since, f.Tries = s, true, load, 0, 1
+		f.server, f.open, f.load, f.Tries = s, true, load, 1
 		s.add(f)
 	}
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -89,9 +89,8 @@
 	failed   []*Server
 	open     bool
 	moved    bool
-	gone     bool  // its client left while it waited
-	heldTo   int64 // it waits its turn no longer than this
-	since    int64
+	gone     bool    // its client left while it waited
+	heldTo   int64   // it waits its turn no longer than this
 	load     float64 // work a second
 	measured bool
 	pos      int // in server.flows
