--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	limitGain   = 1.03   // a second
 	moveShare   = 0.12   // of a slow server's own load a second
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
+	mostKnown   = 4096
 	logEvery    = 1_000_000
 	second      = 1_000_000
 	never       = int64(1) << 62
@@ -54,6 +55,8 @@
 	setups   []Hist    // by service type
 	loads    []float64 // by service type, the sum and the number of loads told
 	loadN    []float64
+	known    map[uint64]float64 // loads of keys that may come again
+	knownOld map[uint64]float64
 	tightest int64   // the shortest message target
 	placed   float64 // new connects, fading over rateTime
 	rateAt   int64
@@ -271,12 +274,26 @@
 
 // usual is the load to count for a flow until the node is told: the hint, or the mean of its service type.
 func (b *Balancer) usual(f *Flow) float64 {
+	if load, ok := b.known[f.Hash]; ok {
+		return load
+	}
+	if load, ok := b.knownOld[f.Hash]; ok {
+		return load
+	}
 	if f.Hint > 0 {
 		return f.Hint
 	}
 	return b.loads[f.TypeNo] / b.loadN[f.TypeNo]
 }
 
+// keep remembers the load of a flow that ended: its client may come again with the same key.
+func (b *Balancer) keep(f *Flow) {
+	if b.known == nil || len(b.known) >= mostKnown {
+		b.known, b.knownOld = map[uint64]float64{}, b.known
+	}
+	b.known[f.Hash] = f.load
+}
+
 // mean is the own load per unit of size over the servers that take flows.
 func (b *Balancer) mean() float64 {
 	load, size := 0.0, 0.0
@@ -392,6 +409,9 @@
 // Ended tells how a connect ended; over says that the flow has its answer.
 func (b *Balancer) Ended(f *Flow, s *Server, end Outcome, took int64, over bool) {
 	s.remove(f)
+	if f.open && f.measured {
+		b.keep(f)
+	}
 	f.open = false
 	if over {
 		return
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -353,3 +353,17 @@
 		t.Fatal(q, h.Total())
 	}
 }
+
+// A heavy flow that was cut off came back as one of usual load and drowned the next server.
+func TestReturningFlowIsKnownByItsKey(t *testing.T) {
+	b, _ := start(2, Repeatable, ScopeAll)
+	f := b.flow()
+	f.Hash = 9
+	b.servers[0].add(f)
+	f.server, f.open = b.servers[0], true
+	b.Load(f, 900_000)
+	b.Ended(f, f.server, Severed, second, true)
+	if got := b.usual(&Flow{Type: f.Type, Hash: 9}); got != 900_000 {
+		t.Fatalf("counted as %v", got)
+	}
+}
