--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	trustLeast  = 0.1
 	trustGain   = 0.03 // of Size a second
 	budgetShare = 0.7  // of what a cold server could bear if all nodes sent alike
-	limitCut    = 0.9
+	limitCut    = 0.8
 	limitGain   = 1.03   // a second
 	moveShare   = 0.12   // of a slow server's own load a second
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
