--- a/balance/balance.go
+++ b/balance/balance.go
@@ -495,10 +495,10 @@
 		return
 	}
 	s.slow, s.slowAt = us, b.now
-	if b.now-s.trustAt > second/2 {
+	if b.now-s.cutAt > second/2 {
 		s.trust = max(s.trust*trustCut, trustLeast)
-		s.trustAt = b.now
 		s.limit = s.load * limitCut
+		s.cutAt, s.trustAt = b.now, b.now
 	}
 	if us > b.tightest/2 && b.now-s.movedAt > second/2 {
 		s.movedAt = b.now
--- a/balance/types.go
+++ b/balance/types.go
@@ -131,6 +131,7 @@
 	budgetAt  int64
 	trust     float64 // of Size, cut when messages turn slow
 	trustAt   int64
+	cutAt     int64
 	limit     float64 // own load it may hold, known once messages turn slow
 	slowAt    int64
 	slow      int64
