--- a/balance/balance.go
+++ b/balance/balance.go
@@ -625,7 +625,7 @@
 		if s.slow > 0 && b.now-s.slowAt > slowHold {
 			s.slow = 0
 		}
-		if s.trust < 1 && b.now-s.trustAt > second {
+		if b.now-s.trustAt > second {
 			s.trust = min(s.trust+trustGain, 1)
 			s.limit *= limitGain
 			s.trustAt = b.now
