--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,8 +31,10 @@
 	trustGain   = 0.03 // of Size a second
 	budgetShare = 0.7  // of what a cold server could bear if all nodes sent alike
 	limitCut    = 0.8
-	limitGain   = 1.03   // a second
-	moveShare   = 0.12   // of a slow server's own load a second
+	limitGain   = 1.03 // a second
+	moveShare   = 0.12 // of a slow server's own load a second
+	spread      = 3.0
+	wellShare   = 0.75
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
 	logEvery    = 1_000_000
@@ -126,6 +128,7 @@
 	var head, best, least, spare *Server
 	var bestAt, leastAt float64
 	ready := 0
+	near := b.near(f)
 	for _, s := range b.order {
 		// Guards against feeding a server that drowns: asked again later, a flow is better served.
 		if !b.usable(s, f) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
@@ -138,10 +141,20 @@
 			}
 			continue
 		}
+		held := f.Group != nil && f.Group.held[s] > 0
+		like := 0.0
+		if f.Group != nil {
+			like = share(f.Group.Hash ^ s.Hash)
+		}
+		if held {
+			like++
+		}
+		if like < near {
+			continue
+		}
 		if over := (s.load + f.load) / s.weight(); least == nil || over < leastAt {
 			least, leastAt = s, over // for its size the least loaded: taken when all are over the cap
 		}
-		held := f.Group != nil && f.Group.held[s] > 0
 		factor := capFactor
 		if held {
 			factor = capGroup
@@ -149,13 +162,6 @@
 		if s.load+f.load > factor*mean*s.weight()+capFloor*f.load {
 			continue
 		}
-		like := 0.0
-		if f.Group != nil {
-			like = share(f.Group.Hash ^ s.Hash)
-		}
-		if held {
-			like++
-		}
 		switch {
 		case b.unranked:
 			if b.rng.Intn(ready) == 0 {
@@ -226,6 +232,25 @@
 	return next
 }
 
+// near is the liking from which a server may take a flow of this group. Guards against a group scattered over
+// the fleet: each server that holds any of it pays its shared work, so that scatter feeds on itself.
+func (b *Balancer) near(f *Flow) float64 {
+	if f.Group == nil {
+		return 0
+	}
+	n, all, well := float64(len(b.servers)), 1.0, 0.0
+	for _, s := range b.servers {
+		all += float64(len(s.flows))
+		if s.slow == 0 && s.load < s.limit {
+			well++
+		}
+	}
+	if well > n*wellShare {
+		return 0
+	}
+	return 1 - (spread+n*float64(f.Group.count)/all)/n
+}
+
 // usable tells whether the rules and the streaks let this flow go to this server.
 func (b *Balancer) usable(s *Server, f *Flow) bool {
 	if s.State != Up || !s.listed || s.skipped || s.fullUntil > b.now || slices.Contains(f.failed, s) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -367,3 +367,26 @@
 		t.Fatalf("counted as %v", got)
 	}
 }
+
+// Groups scattered over the fleet, each server paying for its part: second kingston and sahm incidents.
+func TestGroupIsNotScatteredWhenMostAreUnwell(t *testing.T) {
+	b, w := start(20, Repeatable, ScopeAll)
+	for _, s := range b.servers[:10] {
+		s.slow = 100_000
+	}
+	g := &Group{Hash: 3}
+	used := map[string]bool{}
+	for range 100 {
+		f := b.flow()
+		f.Group = g
+		b.fill(b.servers[19], 4, firstLoad) // others' flows
+		b.place(f)
+	}
+	for _, s := range w.words {
+		used[s] = true
+	}
+	delete(used, "reject")
+	if len(used) > 7 {
+		t.Fatalf("one group on %d servers", len(used))
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -65,8 +65,9 @@
 
 // Group is a set of flows that share work on a server. Hash is the same at every node.
 type Group struct {
-	Hash uint64
-	held map[*Server]int
+	Hash  uint64
+	held  map[*Server]int
+	count int // flows of this node
 }
 
 // Flow is one connection asked for by a client.
@@ -174,6 +175,7 @@
 			f.Group.held = map[*Server]int{}
 		}
 		f.Group.held[s]++
+		f.Group.count++
 	}
 }
 
@@ -184,6 +186,7 @@
 	s.flows = s.flows[:len(s.flows)-1]
 	s.load = max(s.load-f.load, 0)
 	if f.Group != nil {
+		f.Group.count--
 		if f.Group.held[s]--; f.Group.held[s] <= 0 {
 			delete(f.Group.held, s)
 		}
