--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -58,9 +59,8 @@
 	loads    []float64 // by service type, the sum and the number of loads told
 	loadN    []float64
 	known    map[uint64]float64 // loads of keys that may come again
-	knownOld map[uint64]float64
-	tightest int64   // the shortest message target
-	placed   float64 // new connects, fading over rateTime
+	tightest int64              // the shortest message target
+	placed   float64            // new connects, fading over rateTime
 	rateAt   int64
 
 	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
@@ -79,7 +79,8 @@
 func New(set *Settings, seed int64) *Balancer {
 	n := len(set.Types)
 	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
-		setups: make([]Hist, n), loads: make([]float64, n), loadN: make([]float64, n), started: -1}
+		setups: make([]Hist, n), loads: make([]float64, n), loadN: make([]float64, n), started: -1,
+		known: map[uint64]float64{}}
 	for i, t := range set.Types {
 		b.loads[i], b.loadN[i] = firstLoad, 1
 		b.tightest = min(b.tightest, t.MessageTarget)
@@ -141,24 +142,16 @@
 			}
 			continue
 		}
-		held := f.Group != nil && f.Group.held[s] > 0
-		like := 0.0
-		if f.Group != nil {
-			like = share(f.Group.Hash ^ s.Hash)
-		}
-		if held {
-			like++
-		}
+		like, factor := f.liking(s), capFactor
 		if like < near {
 			continue
 		}
+		if like > 1 {
+			factor = capGroup
+		}
 		if over := (s.load + f.load) / s.weight(); least == nil || over < leastAt {
 			least, leastAt = s, over // for its size the least loaded: taken when all are over the cap
 		}
-		factor := capFactor
-		if held {
-			factor = capGroup
-		}
 		if s.load+f.load > factor*mean*s.weight()+capFloor*f.load {
 			continue
 		}
@@ -173,13 +166,7 @@
 			best, bestAt = s, like
 		}
 	}
-	if best == nil {
-		best = least
-	}
-	if best == nil {
-		best = spare
-	}
-	if best == nil {
+	if best = cmp.Or(best, least, spare); best == nil {
 		b.giveUp(f)
 		return
 	}
@@ -232,6 +219,18 @@
 	return next
 }
 
+// liking is over 1 where the server holds the flow's group already; up to 1, the same at every node.
+func (f *Flow) liking(s *Server) float64 {
+	if f.Group == nil {
+		return 0
+	}
+	like := share(f.Group.Hash ^ s.Hash)
+	if f.Group.held[s] > 0 {
+		like++
+	}
+	return like
+}
+
 // near is the liking from which a server may take a flow of this group. Guards against a group scattered over
 // the fleet: each server that holds any of it pays its shared work, so that scatter feeds on itself.
 func (b *Balancer) near(f *Flow) float64 {
@@ -302,23 +301,12 @@
 	if load, ok := b.known[f.Hash]; ok {
 		return load
 	}
-	if load, ok := b.knownOld[f.Hash]; ok {
-		return load
-	}
 	if f.Hint > 0 {
 		return f.Hint
 	}
 	return b.loads[f.TypeNo] / b.loadN[f.TypeNo]
 }
 
-// keep remembers the load of a flow that ended: its client may come again with the same key.
-func (b *Balancer) keep(f *Flow) {
-	if b.known == nil || len(b.known) >= mostKnown {
-		b.known, b.knownOld = map[uint64]float64{}, b.known
-	}
-	b.known[f.Hash] = f.load
-}
-
 // mean is the own load per unit of size over the servers that take flows.
 func (b *Balancer) mean() float64 {
 	load, size := 0.0, 0.0
@@ -435,7 +423,11 @@
 func (b *Balancer) Ended(f *Flow, s *Server, end Outcome, took int64, over bool) {
 	s.remove(f)
 	if f.open && f.measured {
-		b.keep(f)
+		// Guards against a heavy flow that was cut off: its client comes again with the same key.
+		if len(b.known) >= mostKnown {
+			clear(b.known)
+		}
+		b.known[f.Hash] = f.load
 	}
 	f.open = false
 	if over {
@@ -486,7 +478,7 @@
 
 func (b *Balancer) skip(s *Server, why string) {
 	s.skipped, s.streak = true, 0
-	s.probeAt = min(s.probeAt, b.now+b.jitter(probeSoon))
+	s.probeAt = min(s.probeAt, b.now+b.rng.Int63n(probeSoon))
 	b.log("skipped " + s.Name + ": " + why)
 }
 
@@ -575,7 +567,7 @@
 func (b *Balancer) List(kind ListKind) {
 	if kind == Refused {
 		b.watching, b.asking = false, false
-		b.askAt = b.now + second/2 + b.jitter(second/2)
+		b.askAt = b.now + second/2 + b.rng.Int63n(second/2)
 		b.log("list stale: the call failed")
 		return
 	}
@@ -592,7 +584,7 @@
 // Entry takes one entry of the list.
 func (b *Balancer) Entry(s *Server, state State, size float64, started int64) {
 	if !s.listed {
-		s.trust, s.limit, s.probeAt = 1, noLimit, b.now+b.jitter(second)
+		s.trust, s.limit, s.probeAt = 1, noLimit, b.now+b.rng.Int63n(second)
 		if b.now-b.started > second && started == 0 {
 			s.rampFrom, s.rampTo = b.now, b.now+rampTime
 		}
@@ -602,13 +594,10 @@
 		s.latency.Reset()
 		s.failures, s.skipped = 0, false
 	}
+	b.void = b.void || !s.listed || state != s.State
 	if state != Removed && !s.listed {
 		s.listed = true
 		b.servers = append(b.servers, s)
-		b.void = true
-	}
-	if state != s.State {
-		b.void = true
 	}
 	s.State, s.Size, s.Started, s.Seen = state, size, started, true
 	if state == Removed {
@@ -618,10 +607,7 @@
 
 // ListEnd drops what a whole list no longer names.
 func (b *Balancer) ListEnd(kind ListKind) {
-	if kind != Whole {
-		return
-	}
-	for i := len(b.servers) - 1; i >= 0; i-- {
+	for i := len(b.servers) - 1; i >= 0 && kind == Whole; i-- {
 		if s := b.servers[i]; !s.Seen {
 			s.State = Removed
 			b.drop(s)
@@ -664,7 +650,7 @@
 			if s.skipped {
 				every = probeSoon
 			}
-			s.probeAt = b.now + every/2 + b.jitter(every/2)
+			s.probeAt = b.now + every/2 + b.rng.Int63n(every/2)
 			b.out.Probe(s)
 		}
 		if !s.probeOut {
@@ -674,8 +660,6 @@
 	return next
 }
 
-func (b *Balancer) jitter(us int64) int64 { return b.rng.Int63n(us) }
-
 func (b *Balancer) log(line string) {
 	if b.now >= b.logAt {
 		b.logAt = b.now + logEvery
