--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	trustCut    = 0.85
 	trustLeast  = 0.1
 	trustGain   = 0.03 // of Size a second
-	budgetShare = 0.7  // of what a cold server could bear if all nodes sent alike
+	budgetShare = 2.0  // of what one server usually gets, times the stated multiple
 	limitCut    = 0.8
 	limitGain   = 1.03 // a second
 	moveShare   = 0.12 // of a slow server's own load a second
