--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,8 @@
 	trustGain   = 0.03 // of Size a second
 	budgetShare = 2.0  // of what one server usually gets, times the stated multiple
 	limitCut    = 0.8
-	limitGain   = 1.03 // a second
+	limitGain   = 0.03 // of itself a second, of the mean share at least
+	limitFloor  = 0.5  // of the mean share for its weight
 	moveShare   = 0.12 // of a slow server's own load a second
 	spread      = 3.0
 	wellShare   = 0.75
@@ -514,7 +515,7 @@
 	s.slow, s.slowAt = us, b.now
 	if b.now-s.cutAt > second/2 {
 		s.trust = max(s.trust*trustCut, trustLeast)
-		s.limit = s.load * limitCut
+		s.limit = max(s.load*limitCut, limitFloor*b.mean()*s.weight())
 		s.cutAt, s.trustAt = b.now, b.now
 	}
 	if us > b.tightest/2 && b.now-s.movedAt > second/2 {
@@ -638,7 +639,7 @@
 		}
 		if b.now-s.trustAt > second {
 			s.trust = min(s.trust+trustGain, 1)
-			s.limit *= limitGain
+			s.limit += limitGain * max(s.limit, b.mean()*s.Size)
 			s.trustAt = b.now
 		}
 		if !b.set.Probing || s.State != Up {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -390,3 +390,14 @@
 		t.Fatalf("one group on %d servers", len(used))
 	}
 }
+
+// One small flow held when messages turned slow left a limit that nothing fitted: third kingston incident.
+func TestLimitIsNotTiny(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	b.fill(b.servers[1], 20, firstLoad)
+	b.fill(b.servers[0], 1, firstLoad/100)
+	b.Slow(b.servers[0], 25_000)
+	b.Slow(b.servers[0], 1000)
+	b.place(b.flow())
+	w.want(t, "connect a")
+}
