--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,10 +27,7 @@
 	keepRank    = 32  // samples in a server's histogram before it is halved
 	keepAll     = 256 // samples in a node's
 	slowHold    = 1_600_000
-	trustCut    = 0.85
-	trustLeast  = 0.1
-	trustGain   = 0.03 // of Size a second
-	budgetShare = 2.0  // of what one server usually gets, times the stated multiple
+	budgetShare = 2.0 // of what one server usually gets, times the stated multiple
 	limitCut    = 0.8
 	limitGain   = 0.03 // of itself a second, of the mean share at least
 	limitFloor  = 0.5  // of the mean share for its weight
@@ -127,7 +124,7 @@
 func (b *Balancer) place(f *Flow) {
 	b.rank()
 	mean := b.mean()
-	var head, best, least, spare *Server
+	var head, best, least *Server
 	var bestAt, leastAt float64
 	ready := 0
 	near := b.near(f)
@@ -138,9 +135,6 @@
 		}
 		ready++
 		if b.passOver(s) {
-			if s.budget >= 1 {
-				spare = s // fresh, within its budget: taken when nothing else is left
-			}
 			continue
 		}
 		like, factor := f.liking(s), capFactor
@@ -150,10 +144,10 @@
 		if like > 1 {
 			factor = capGroup
 		}
-		if over := (s.load + f.load) / s.weight(); least == nil || over < leastAt {
+		if over := (s.load + f.load) / s.Size; least == nil || over < leastAt {
 			least, leastAt = s, over // for its size the least loaded: taken when all are over the cap
 		}
-		if s.load+f.load > factor*mean*s.weight()+capFloor*f.load {
+		if s.load+f.load > factor*mean*s.Size+capFloor*f.load {
 			continue
 		}
 		switch {
@@ -167,7 +161,7 @@
 			best, bestAt = s, like
 		}
 	}
-	if best = cmp.Or(best, least, spare); best == nil {
+	if best = cmp.Or(best, least); best == nil {
 		b.giveUp(f)
 		return
 	}
@@ -314,7 +308,7 @@
 	for _, s := range b.order {
 		if s.State == Up && s.listed && !s.skipped {
 			load += s.load
-			size += s.weight()
+			size += s.Size
 		}
 	}
 	return max(load, 1) / max(size, 0.001)
@@ -375,7 +369,7 @@
 	h := &b.setups[f.TypeNo]
 	t := max(16*h.Quantile(0.9), f.Type.SetupTarget)
 	last := f.Tries >= b.set.MaxConnects || f.Type.Effect == OnceOnly // no further connect would follow
-	if last || h.Total() < 8 || b.pace > 0 || t > left*2/3 {
+	if last || h.Total() < 8 || t > left*2/3 {
 		return left
 	}
 	return t
@@ -505,8 +499,8 @@
 	b.loadN[f.TypeNo]++
 }
 
-// Slow tells how long messages take at a server now. The server is trusted with less, and part of this node's
-// load there is asked to come again. Guards against a server that drowns under flows already placed.
+// Slow tells how long messages take at a server now. Its limit goes under what it holds, and part of this
+// node's load there is asked to come again. Guards against a server that drowns under flows already placed.
 func (b *Balancer) Slow(s *Server, us int64) {
 	if us <= b.tightest/3 {
 		s.slow = 0
@@ -514,9 +508,8 @@
 	}
 	s.slow, s.slowAt = us, b.now
 	if b.now-s.cutAt > second/2 {
-		s.trust = max(s.trust*trustCut, trustLeast)
-		s.limit = max(s.load*limitCut, limitFloor*b.mean()*s.weight())
-		s.cutAt, s.trustAt = b.now, b.now
+		s.limit = max(s.load*limitCut, limitFloor*b.mean()*s.Size)
+		s.cutAt, s.growAt = b.now, b.now
 	}
 	if us > b.tightest/2 && b.now-s.movedAt > second/2 {
 		s.movedAt = b.now
@@ -585,13 +578,13 @@
 // Entry takes one entry of the list.
 func (b *Balancer) Entry(s *Server, state State, size float64, started int64) {
 	if !s.listed {
-		s.trust, s.limit, s.probeAt = 1, noLimit, b.now+b.rng.Int63n(second)
+		s.limit, s.probeAt = noLimit, b.now+b.rng.Int63n(second)
 		if b.now-b.started > second && started == 0 {
 			s.rampFrom, s.rampTo = b.now, b.now+rampTime
 		}
 	}
 	if started > s.Started {
-		s.budget, s.budgetAt, s.trust, s.limit = b.rng.Float64(), b.now, 1, noLimit
+		s.budget, s.budgetAt, s.limit = b.rng.Float64(), b.now, noLimit
 		s.latency.Reset()
 		s.failures, s.skipped = 0, false
 	}
@@ -637,10 +630,9 @@
 		if s.slow > 0 && b.now-s.slowAt > slowHold {
 			s.slow = 0
 		}
-		if b.now-s.trustAt > second {
-			s.trust = min(s.trust+trustGain, 1)
+		if b.now-s.growAt > second {
 			s.limit += limitGain * max(s.limit, b.mean()*s.Size)
-			s.trustAt = b.now
+			s.growAt = b.now
 		}
 		if !b.set.Probing || s.State != Up {
 			continue
--- a/balance/types.go
+++ b/balance/types.go
@@ -130,8 +130,7 @@
 	rampTo    int64
 	budget    float64
 	budgetAt  int64
-	trust     float64 // of Size, cut when messages turn slow
-	trustAt   int64
+	growAt    int64
 	cutAt     int64
 	limit     float64 // own load it may hold, known once messages turn slow
 	slowAt    int64
@@ -164,8 +163,6 @@
 	Trace(line string)
 }
 
-func (s *Server) weight() float64 { return s.Size * s.trust }
-
 func (s *Server) add(f *Flow) {
 	f.pos = len(s.flows)
 	s.flows = append(s.flows, f)
