--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,7 +16,7 @@
 	marginAbs   = 20_000 // a challenger must win by this and
 	marginShare = 0.25   // by this share of the leader's latency
 	capFactor   = 1.25   // a server may hold this times the mean load for its size
-	capGroup    = 3.0    // and this times for a flow whose group it holds
+	capGroup    = 2.5    // and this times for a flow whose group it holds
 	capFloor    = 1.0    // and this many usual flows besides
 	probeEvery  = 5_000_000
 	probeSoon   = 700_000 // for skipped servers
