--- a/balance/balance.go
+++ b/balance/balance.go
@@ -247,7 +247,7 @@
 
 // usable tells whether the rules and the streaks let this flow go to this server.
 func (b *Balancer) usable(s *Server, f *Flow) bool {
-	if s.State != Up || !s.listed || s.skipped || s.fullUntil > b.now || slices.Contains(f.failed, s) {
+	if s.State != Up || !s.listed || s.skipped || s.asideTo > b.now || slices.Contains(f.failed, s) {
 		return false
 	}
 	if f.maybe == nil || f.Type.Effect == Repeatable {
@@ -433,7 +433,7 @@
 	}
 	switch end {
 	case Saturated:
-		s.fullUntil = b.now + second/2 // full, not sick
+		s.asideTo = b.now + second/2 // full, not sick
 	case Unreachable, Overdue, Severed, Errored:
 		b.failed(s, f, end, took)
 	}
@@ -471,10 +471,15 @@
 	}
 }
 
+// skip leaves a server out until its streak of good probes, or for a while where no probes are allowed.
 func (b *Balancer) skip(s *Server, why string) {
+	b.log("skipped " + s.Name + ": " + why)
+	if !b.set.Probing {
+		s.asideTo, s.failures = b.now+probeEvery, 0
+		return
+	}
 	s.skipped, s.streak = true, 0
 	s.probeAt = min(s.probeAt, b.now+b.rng.Int63n(probeSoon))
-	b.log("skipped " + s.Name + ": " + why)
 }
 
 // Expired tells that the client left, or its time ran out.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -217,6 +217,20 @@
 	}
 }
 
+func TestWithoutProbesASkipEnds(t *testing.T) {
+	b, _ := start(3, Repeatable, ScopeAll)
+	b.set.Probing = false
+	s := b.servers[0]
+	b.skip(s, "")
+	if b.usable(s, b.flow()) {
+		t.Fatal("usable at once")
+	}
+	b.now += probeEvery
+	if !b.usable(s, b.flow()) {
+		t.Fatal("skipped for good where nothing could bring it back")
+	}
+}
+
 // A store that all servers share fails: port-louis, first incident.
 func TestSharedCauseSkipsNobodyAndPaces(t *testing.T) {
 	b, w := start(6, Repeatable, ScopeAll)
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -38,15 +38,15 @@
 
 // start gives a balancer at one minute, with n measured servers a, b, c... that are up, alike and warm.
 func start(n int, effect Effect, scope Scope) (*Balancer, *said) {
-	set := &Settings{Types: []ServiceType{{SetupTarget: 300_000, MessageTarget: 60_000, Effect: effect, Scope: scope,
-		Window: 5 * second, Benefit: 1}}, MaxConnects: 4, Balancers: 2, AskWithin: 10 * second,
-		ColdFrom: 0.2, ColdTime: 20 * second, FallMultiple: 3, FallTime: 3 * second}
+	set := &Settings{Types: []ServiceType{{SetupTarget: 300_000, MessageTarget: 60_000, Effect: effect,
+		Scope: scope, Window: 5 * second}}, MaxConnects: 4, Probing: true, AskWithin: 10 * second,
+		ColdFrom: 0.2, ColdTime: 20 * second, FallMultiple: 3}
 	w := &said{}
 	b := New(set, 1)
 	b.now, b.out, b.started, b.rateAt = 60*second, w, 0, 60*second
 	for i := range n {
-		s := &Server{Name: string(rune('a' + i)), Hash: uint64(i + 1), Size: 1, limit: noLimit, listed: true,
-			Zone: i, Cell: i, probeAt: never}
+		s := &Server{Name: string(rune('a' + i)), Hash: uint64(i + 1), Size: 1, Zone: i, Cell: i,
+			limit: noLimit, listed: true, probeAt: never}
 		s.latency.Add(10_000, keepRank)
 		s.rank = 10_000
 		b.servers = append(b.servers, s)
--- a/balance/types.go
+++ b/balance/types.go
@@ -43,13 +43,10 @@
 	Effect        Effect
 	Scope         Scope
 	Window        int64
-	Benefit       float64
 }
 
 type Settings struct {
 	Types        []ServiceType
-	Zone         int
-	Balancers    int
 	MaxConnects  int
 	Probing      bool
 	OnRequest    bool  // the server list must be asked for
@@ -59,8 +56,6 @@
 	ColdFrom     float64
 	ColdTime     int64
 	FallMultiple float64
-	FallTime     int64
-	TenantQuota  []float64 // own share, open connections over all nodes; empty without tenants
 }
 
 // Group is a set of flows that share work on a server. Hash is the same at every node.
@@ -74,14 +69,12 @@
 type Flow struct {
 	Type     *ServiceType
 	TypeNo   int
-	Tenant   int
 	Group    *Group // nil without one
 	Hash     uint64 // of the flow's key
 	Deadline int64  // the client's connect timeout
 	Hint     float64
-	Returned bool // the client came back after a break or a move
-	Tries    int  // connects made
-	Ref      any  // the caller's own handle
+	Tries    int // connects made
+	Ref      any // the caller's own handle
 
 	server   *Server // of the last connect
 	sent     int64   // when it was made
@@ -116,29 +109,29 @@
 	Name       string
 	Seen       bool // named by the list being read
 
-	listed    bool
-	latency   Hist
-	rank      int64 // latency the order goes by, refreshed as samples come
-	flows     []*Flow
-	load      float64 // own flows' work a second
-	pending   int
-	skipped   bool
-	streak    int // good probes in a row while skipped
-	failures  int // failed set-ups in a row
-	failedAt  int64
-	rampFrom  int64
-	rampTo    int64
-	budget    float64
-	budgetAt  int64
-	growAt    int64
-	cutAt     int64
-	limit     float64 // own load it may hold, known once messages turn slow
-	slowAt    int64
-	slow      int64
-	movedAt   int64
-	fullUntil int64
-	probeAt   int64
-	probeOut  bool
+	listed   bool
+	latency  Hist
+	rank     int64 // latency the order goes by, refreshed as samples come
+	flows    []*Flow
+	load     float64 // own flows' work a second
+	pending  int
+	skipped  bool
+	streak   int // good probes in a row while skipped
+	failures int // failed set-ups in a row
+	failedAt int64
+	rampFrom int64
+	rampTo   int64
+	budget   float64
+	budgetAt int64
+	growAt   int64
+	cutAt    int64
+	limit    float64 // own load it may hold, known once messages turn slow
+	slowAt   int64
+	slow     int64
+	movedAt  int64
+	asideTo  int64
+	probeAt  int64
+	probeOut bool
 }
 
 // ListKind says what a list report is.
--- a/simwire/door.go
+++ b/simwire/door.go
@@ -260,7 +260,8 @@
 	switch string(l.name) {
 	case "demand":
 		id, flags := string(l.text("Ref")), l.count("Flags", false)
-		f := d.flow(id, flags, l.index("Priority", len(n.set.Types), false), int(l.count("Team", true)))
+		f := d.flow(id, l.index("Priority", len(n.set.Types), false))
+		l.count("Team", true)
 		f.Hash = hash(l.take("Object"))
 		f.Hint = hint(flags, l.number("PredictedMs"))
 		f.Group = n.group(l.take("Channel"))
@@ -276,12 +277,14 @@
 		l.time("LeftMs")
 		s := d.server(l.text("Host"))
 		kind := l.index("Priority", len(n.set.Types), false)
-		predicted, team, flags := l.number("PredictedMs"), l.count("Team", true), l.count("Flags", false)
+		predicted := l.number("PredictedMs")
+		l.count("Team", true)
+		flags := l.count("Flags", false)
 		group, object := l.take("Channel"), l.take("Object")
 		if l.end() != nil || d.err != nil {
 			return
 		}
-		f := d.flow(id, flags, kind, int(team))
+		f := d.flow(id, kind)
 		f.Hint, f.Group, f.Hash = hint(flags, predicted), n.group(group), hash(object)
 		r := f.Ref.(*ref)
 		r.tries, r.out = append(r.tries, s), 1
@@ -348,10 +351,9 @@
 	return ms * 1000
 }
 
-func (d *Door) flow(id string, flags int64, kind, tenant int) *balance.Flow {
+func (d *Door) flow(id string, kind int) *balance.Flow {
 	kind = min(max(kind, 0), len(d.cur.set.Types)-1)
-	return &balance.Flow{Type: &d.cur.set.Types[kind], TypeNo: kind, Tenant: tenant, Returned: flags&16 != 0,
-		Ref: &ref{id: id}}
+	return &balance.Flow{Type: &d.cur.set.Types[kind], TypeNo: kind, Ref: &ref{id: id}}
 }
 
 func (n *node) group(p []byte) *balance.Group {
--- a/simwire/settings.go
+++ b/simwire/settings.go
@@ -69,8 +69,6 @@
 		c.values[key] = value
 	}
 	s := &balance.Settings{
-		Zone:         int(c.number("MyZone", 0)),
-		Balancers:    int(c.number("Balancers", 1)),
 		MaxConnects:  int(c.number("Limits.MaxConnects", 1)),
 		Probing:      c.flag("Limits.Probing"),
 		OnRequest:    c.word("Discovery", "pushed", "on_request") == 1,
@@ -79,7 +77,6 @@
 		ColdFrom:     c.number("Obligations.ColdFrom", 0),
 		ColdTime:     c.time("Obligations.ColdMs", 0),
 		FallMultiple: c.number("Obligations.FallMultiple", 0),
-		FallTime:     c.time("Obligations.FallMs", 0),
 	}
 	if s.OnRequest {
 		s.AskWithin = c.time("Obligations.AskWithinMs", 1)
@@ -90,7 +87,6 @@
 		t := balance.ServiceType{
 			SetupTarget: c.time(at+"SetupTargetMs", 0),
 			Effect:      balance.Effect(c.word(at+"Effect", "safe", "keyed", "unsafe")),
-			Benefit:     c.number(at+"Benefit", 0),
 		}
 		t.MessageTarget = t.SetupTarget
 		if i < len(targets) {
@@ -106,15 +102,5 @@
 		}
 		s.Types = append(s.Types, t)
 	}
-	for _, q := range c.list("Specifics.TenantQuotaConnections") {
-		n, err := strconv.ParseFloat(q, 64)
-		if q == "null" {
-			n, err = 0, nil
-		}
-		if err != nil || !(n >= 0) {
-			c.fail("Specifics.TenantQuotaConnections", fmt.Sprintf("has the impossible value %q", q))
-		}
-		s.TenantQuota = append(s.TenantQuota, n)
-	}
 	return s, c.err
 }
