--- a/balance/balance.go
+++ b/balance/balance.go
@@ -518,7 +518,7 @@
 	}
 	if us > b.tightest/2 && b.now-s.movedAt > second/2 {
 		s.movedAt = b.now
-		b.shift(s, moveShare*s.load*min(float64(us)/float64(b.tightest), 3))
+		b.shift(s, moveShare*s.load*min(float64(us)/float64(b.tightest), 4))
 	}
 }
 
