--- a/balance/balance.go
+++ b/balance/balance.go
@@ -408,7 +408,7 @@
 	b.placed++
 	if b.pace > 0 {
 		b.pace *= 1.02
-		if b.now-b.cutAt > 5*second {
+		if b.now-b.cutAt > 2*second {
 			b.pace = 0
 		}
 	}
