--- a/balance/balance.go
+++ b/balance/balance.go
@@ -133,7 +133,6 @@
 		if !b.usable(s, f) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
 			continue
 		}
-		ready++
 		if b.passOver(s) {
 			continue
 		}
@@ -152,7 +151,7 @@
 		}
 		switch {
 		case b.unranked:
-			if b.rng.Intn(ready) == 0 {
+			if ready++; b.rng.Intn(ready) == 0 {
 				best = s // fewer than two ranked: a random ready server
 			}
 		case head == nil:
@@ -591,7 +590,7 @@
 	if started > s.Started {
 		s.budget, s.budgetAt, s.limit = b.rng.Float64(), b.now, noLimit
 		s.latency.Reset()
-		s.failures, s.skipped = 0, false
+		s.failures, s.skipped, b.void = 0, false, true
 	}
 	b.void = b.void || !s.listed || state != s.State
 	if state != Removed && !s.listed {
