--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,11 +29,11 @@
 	slowHold    = 1_600_000
 	budgetShare = 2.0 // of what one server usually gets, times the stated multiple
 	limitCut    = 0.8
-	limitGain   = 0.03 // of itself a second, of the mean share at least
-	limitFloor  = 0.5  // of the mean share for its weight
-	moveShare   = 0.12 // of a slow server's own load a second
-	spread      = 2.0  // servers by hash that a group keeps to while many are unwell
-	wellShare   = 0.75 // of the servers, over which groups may go anywhere
+	limitGain   = 0.03   // of itself a second, of the mean share at least
+	limitFloor  = 0.5    // of the mean share for its weight
+	moveShare   = 0.12   // of a slow server's own load a second
+	spread      = 2.0    // servers by hash that a group keeps to while many are unwell
+	wellShare   = 0.75   // of the servers, over which groups may go anywhere
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
 	logEvery    = 1_000_000
