--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,7 @@
 	limitCut    = 0.8
 	limitGain   = 0.03   // of itself a second, of the mean share at least
 	limitFloor  = 0.5    // of the mean share for its weight
+	silentShare = 0.5    // of own load, moved at each further failed probe
 	moveShare   = 0.12   // of a slow server's own load a second
 	spread      = 2.0    // servers by hash that a group keeps to while many are unwell
 	wellShare   = 0.75   // of the servers, over which groups may go anywhere
@@ -556,7 +557,9 @@
 		return
 	}
 	s.streak = 0
-	if !s.skipped && s.State == Up && end != Saturated {
+	if s.skipped {
+		b.shift(s, silentShare*s.load) // guards flows held by a server that went silent: no reset tells them
+	} else if s.State == Up && end != Saturated {
 		b.skip(s, "probe failed")
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -411,3 +411,16 @@
 	b.place(b.flow())
 	w.want(t, "connect a")
 }
+
+// A machine that goes silent keeps its flows without a word: sahm-muscat-roster, days with vanish.
+func TestFlowsLeaveASilentServer(t *testing.T) {
+	b, w := start(3, Repeatable, ScopeAll)
+	s := b.servers[0]
+	b.fill(s, 10, firstLoad)
+	b.Probed(s, Overdue, second)
+	w.want(t)
+	b.Probed(s, Overdue, second)
+	if n := w.count("move"); n != 5 {
+		t.Fatalf("%d of 10 moved after the second failed probe", n)
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -114,7 +114,6 @@
 	rank     int64 // latency the order goes by, refreshed as samples come
 	flows    []*Flow
 	load     float64 // own flows' work a second
-	pending  int
 	skipped  bool
 	streak   int // good probes in a row while skipped
 	failures int // failed set-ups in a row
