--- a/balance/balance.go
+++ b/balance/balance.go
@@ -216,7 +216,9 @@
 
 // liking is over 1 where the server holds the flow's group already; up to 1, the same at every node.
 func (f *Flow) liking(s *Server) float64 {
-	if f.Group == nil {
+	if f.Group == nil && f.Passed {
+		return share(f.Hash ^ s.Hash) // another node, to which its packets may come, finds its server the same way
+	} else if f.Group == nil {
 		return 0
 	}
 	like := share(f.Group.Hash ^ s.Hash)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -424,3 +424,21 @@
 		t.Fatalf("%d of 10 moved after the second failed probe", n)
 	}
 }
+
+func TestPassedFlowsAreFoundByTheirKey(t *testing.T) {
+	b, w := start(5, Repeatable, ScopeAll)
+	for range 2 { // a second node, with the list in another order
+		f := b.flow()
+		f.Passed, f.Hash = true, 77
+		b.place(f)
+		for i, j := 0, len(b.order)-1; i < j; i, j = i+1, j-1 {
+			b.order[i], b.order[j] = b.order[j], b.order[i]
+		}
+		for _, s := range b.servers {
+			s.load = 0
+		}
+	}
+	if len(w.words) != 2 || w.words[0] != w.words[1] {
+		t.Fatal(w.words)
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -71,6 +71,7 @@
 	TypeNo   int
 	Group    *Group // nil without one
 	Hash     uint64 // of the flow's key
+	Passed   bool   // its packets pass through and may land on another node
 	Deadline int64  // the client's connect timeout
 	Hint     float64
 	Tries    int // connects made
--- a/simwire/settings.go
+++ b/simwire/settings.go
@@ -59,12 +59,12 @@
 	return nil
 }
 
-func decode(pairs [][]byte) (*balance.Settings, error) {
+func decode(pairs [][]byte) (*balance.Settings, bool, error) {
 	c := &conf{values: make(map[string]string, len(pairs))}
 	for _, p := range pairs {
 		key, value, ok := strings.Cut(string(p), "=")
 		if !ok {
-			return nil, fmt.Errorf("setting %q has no value", p)
+			return nil, false, fmt.Errorf("setting %q has no value", p)
 		}
 		c.values[key] = value
 	}
@@ -102,5 +102,5 @@
 		}
 		s.Types = append(s.Types, t)
 	}
-	return s, c.err
+	return s, c.values["Specifics.Mode"] == "pass", c.err
 }
