--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	marginAbs   = 20_000 // a challenger must win by this and
-	marginShare = 0.25   // by this share of the leader's latency
-	capFactor   = 1.25   // a server may hold this times the mean load for its size
-	capGroup    = 2.5    // and this times for a flow whose group it holds
-	capFloor    = 1.0    // and this many usual flows besides
-	probeEvery  = 5_000_000
-	probeSoon   = 700_000 // for skipped servers
-	failStreak  = 3       // failed set-ups in a row that skip a server
-	goodStreak  = 2       // good probes in a row that bring it back
+	marginAbs   = 20_000    // a challenger must win by this and
+	marginShare = 0.25      // by this share of the leader's latency
+	capFactor   = 1.25      // a server may hold this times the mean load for its size
+	capGroup    = 2.5       // and this times for a flow whose group it holds
+	capFloor    = 1.0       // and this many usual flows besides
+	probeEvery  = 5_000_000 // at most; half of it at least
+	probeSoon   = 700_000   // for skipped servers
+	failStreak  = 3         // failed set-ups in a row that skip a server
+	goodStreak  = 2         // good probes in a row that bring it back
 	rampTime    = 10_000_000
 	rampStart   = 0.3
 	keepRank    = 32  // samples in a server's histogram before it is halved
@@ -30,7 +30,7 @@
 	budgetShare = 2.0 // of what one server usually gets, times the stated multiple
 	limitCut    = 0.8
 	limitGain   = 0.03   // of itself a second, of the mean share at least
-	limitFloor  = 0.5    // of the mean share for its weight
+	limitFloor  = 0.5    // of the mean share for its size
 	silentShare = 0.5    // of own load, moved at each further failed probe
 	moveShare   = 0.12   // of a slow server's own load a second
 	spread      = 2.0    // servers by hash that a group keeps to while many are unwell
@@ -419,7 +419,7 @@
 // Ended tells how a connect ended; over says that the flow has its answer.
 func (b *Balancer) Ended(f *Flow, s *Server, end Outcome, took int64, over bool) {
 	s.remove(f)
-	if f.open && f.measured {
+	if f.open && f.measured && f.Hash != 0 {
 		// Guards against a heavy flow that was cut off: its client comes again with the same key.
 		if len(b.known) >= mostKnown {
 			clear(b.known)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -376,6 +376,14 @@
 	if got := b.usual(&Flow{Type: f.Type, Hash: 9}); got != 900_000 {
 		t.Fatalf("counted as %v", got)
 	}
+	none := b.flow()
+	b.servers[0].add(none)
+	none.server, none.open = b.servers[0], true
+	b.Load(none, 900_000)
+	b.Ended(none, none.server, Severed, second, true)
+	if _, ok := b.known[0]; ok {
+		t.Fatal("flows without a key are taken for one")
+	}
 }
 
 // Groups scattered over the fleet, each server paying for its part: second kingston and sahm incidents.
--- a/balance/types.go
+++ b/balance/types.go
@@ -70,7 +70,7 @@
 	Type     *ServiceType
 	TypeNo   int
 	Group    *Group // nil without one
-	Hash     uint64 // of the flow's key
+	Hash     uint64 // of the flow's key; 0 without one
 	Passed   bool   // its packets pass through and may land on another node
 	Deadline int64  // the client's connect timeout
 	Hint     float64
--- a/simwire/door.go
+++ b/simwire/door.go
@@ -263,7 +263,7 @@
 		id, flags := string(l.text("Ref")), l.count("Flags", false)
 		f := d.flow(id, l.index("Priority", len(n.set.Types), false))
 		l.count("Team", true)
-		f.Hash = hash(l.take("Object"))
+		f.Hash = key(l.take("Object"))
 		f.Hint = hint(flags, l.number("PredictedMs"))
 		f.Group = n.group(l.take("Channel"))
 		left := l.time("LeftMs")
@@ -286,7 +286,7 @@
 			return
 		}
 		f := d.flow(id, kind)
-		f.Hint, f.Group, f.Hash = hint(flags, predicted), n.group(group), hash(object)
+		f.Hint, f.Group, f.Hash = hint(flags, predicted), n.group(group), key(object)
 		r := f.Ref.(*ref)
 		r.tries, r.out = append(r.tries, s), 1
 		n.flows[id] = f
--- a/simwire/parse.go
+++ b/simwire/parse.go
@@ -136,3 +136,11 @@
 	}
 	return h
 }
+
+// key is the hash of a flow's key, 0 where it has none.
+func key(p []byte) uint64 {
+	if len(p) == 0 || len(p) == 1 && p[0] == '-' {
+		return 0
+	}
+	return hash(p)
+}
