A node uses every n-th server of the list; cold budgets count fresh flows only

Now a node ranks and probes every n-th of the sorted list from a start of its own; the rest is used for a group's homes or when the share has none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 )
@@ -38,43 +39,12 @@
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
 	logEvery    = 1_000_000
+	shareLeast  = 8 // servers in a node's share, and nodes that share a server
 	second      = 1_000_000
 	never       = int64(1) << 62
 	noLimit     = 1e18
 )
 
-type Balancer struct {
-	set     *Settings
-	rng     *rand.Rand
-	out     Writer
-	now     int64
-	started int64
-
-	servers  []*Server // as the list names them
-	order    []*Server // ranked, best first
-	void     bool
-	unranked bool      // fewer than two servers have been measured
-	setups   []Hist    // by service type
-	loads    []float64 // by service type, the sum and the number of loads told
-	loadN    []float64
-	known    map[uint64]float64 // loads of keys that may come again
-	tightest int64              // the shortest message target
-	placed   float64            // new connects, fading over rateTime
-	rateAt   int64
-
-	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
-	paceAt  int64
-	credit  float64
-	cutAt   int64
-	waiting []*Flow
-
-	watching bool
-	asking   bool
-	askAt    int64
-	alarmAt  int64
-	logAt    int64
-}
-
 func New(set *Settings, seed int64) *Balancer {
 	n := len(set.Types)
 	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
@@ -130,6 +100,9 @@
 	ready := 0
 	near := b.near(f)
 	for _, s := range b.order {
+		if !s.share && f.Group == nil && least != nil {
+			break // the rest of the list only when the share has none
+		}
 		// Guards against feeding a server that drowns: asked again later, a flow is better served.
 		if !b.usable(s, f) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
 			continue
@@ -304,11 +277,11 @@
 	return b.loads[f.TypeNo] / b.loadN[f.TypeNo]
 }
 
-// mean is the own load per unit of size over the servers that take flows.
+// mean is the own load per unit of size over the servers that this node uses.
 func (b *Balancer) mean() float64 {
 	load, size := 0.0, 0.0
 	for _, s := range b.order {
-		if s.State == Up && s.listed && !s.skipped {
+		if s.State == Up && !s.skipped && (s.share || s.load > 0) {
 			load += s.load
 			size += s.Size
 		}
@@ -324,7 +297,12 @@
 	b.void = false
 	b.order = b.order[:0]
 	sum, n := int64(0), int64(0)
-	for _, s := range b.servers {
+	// In a large fleet a node uses every n-th server of the sorted list from a start of its own, so that it
+	// has flows enough to judge each by, and a server is not probed by all nodes.
+	step := max(1, min(len(b.servers), b.set.Nodes)/shareLeast)
+	_, part := math.Modf(float64(b.set.Index) * 0.618034) // even over nodes, and over every n-th of them
+	for i, s := range b.servers {
+		s.share = i%step == int(part*float64(step))
 		if s.latency.Total() > 0 {
 			sum += s.rank
 			n++
@@ -337,7 +315,14 @@
 		}
 		b.order = append(b.order, s)
 	}
-	slices.SortStableFunc(b.order, func(x, y *Server) int { return int(x.rank/1000 - y.rank/1000) })
+	slices.SortStableFunc(b.order, func(x, y *Server) int {
+		if x.share == y.share {
+			return int(x.rank/1000 - y.rank/1000)
+		} else if x.share {
+			return -1
+		}
+		return 1
+	})
 }
 
 func beats(challenger, leader *Server) bool {
@@ -356,10 +341,10 @@
 		return
 	}
 	i := slices.Index(b.order, s)
-	for ; i > 0 && beats(s, b.order[i-1]); i-- {
+	for ; i > 0 && s.share == b.order[i-1].share && beats(s, b.order[i-1]); i-- {
 		b.order[i], b.order[i-1] = b.order[i-1], s
 	}
-	for ; i >= 0 && i+1 < len(b.order) && beats(b.order[i+1], s); i++ {
+	for ; i >= 0 && i+1 < len(b.order) && s.share == b.order[i+1].share && beats(b.order[i+1], s); i++ {
 		b.order[i], b.order[i+1] = b.order[i+1], s
 	}
 }
@@ -407,7 +392,9 @@
 	s.failures = 0
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
-	b.placed++
+	if !f.Again {
+		b.placed++ // guards cold servers from a rate that a crowd of returning clients drives up
+	}
 	if b.pace > 0 {
 		b.pace *= 1.02
 		if b.now-b.cutAt > 2*second {
@@ -553,7 +540,7 @@
 		s.streak++
 		if s.skipped && s.streak >= goodStreak {
 			s.skipped, s.failures = false, 0
-			s.rampFrom, s.rampTo = b.now, b.now+rampTime
+			s.rampTo = b.now + rampTime
 			b.log("back again " + s.Name)
 		}
 		return
@@ -589,7 +576,7 @@
 	if !s.listed {
 		s.limit, s.probeAt = noLimit, b.now+b.rng.Int63n(second)
 		if b.now-b.started > second && started == 0 {
-			s.rampFrom, s.rampTo = b.now, b.now+rampTime
+			s.rampTo = b.now + rampTime
 		}
 	}
 	if started > s.Started {
@@ -600,7 +587,8 @@
 	b.void = b.void || !s.listed || state != s.State
 	if state != Removed && !s.listed {
 		s.listed = true
-		b.servers = append(b.servers, s)
+		at, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *Server) int { return cmp.Compare(x.Name, y.Name) })
+		b.servers = slices.Insert(b.servers, at, s)
 	}
 	s.State, s.Size, s.Started, s.Seen = state, size, started, true
 	if state == Removed {
@@ -643,13 +631,13 @@
 			s.limit += limitGain * max(s.limit, b.mean()*s.Size)
 			s.growAt = b.now
 		}
-		if !b.set.Probing || s.State != Up {
+		if !b.set.Probing || s.State != Up || !s.share && s.load == 0 && !s.skipped {
 			continue
 		}
 		if b.now >= s.probeAt && !s.probeOut {
 			s.probeOut = true
 			every := int64(probeEvery)
-			if s.skipped {
+			if s.skipped && s.share {
 				every = probeSoon
 			}
 			s.probeAt = b.now + every/2 + b.rng.Int63n(every/2)
--- a/balance/types.go
+++ b/balance/types.go
@@ -1,5 +1,7 @@
 package balance
 
+import "math/rand"
+
 // Effect says what a second run of a flow of this service type would do.
 type Effect uint8
 
@@ -47,6 +49,7 @@
 
 type Settings struct {
 	Types        []ServiceType
+	Nodes, Index int // how many nodes there are, and which of them this is
 	MaxConnects  int
 	Probing      bool
 	OnRequest    bool  // the server list must be asked for
@@ -58,6 +61,40 @@
 	FallMultiple float64
 }
 
+// Balancer is what one node knows; Round in balance.go is the way in.
+type Balancer struct {
+	set     *Settings
+	rng     *rand.Rand
+	out     Writer
+	now     int64
+	started int64
+
+	servers  []*Server // on the list, by name
+	order    []*Server // ranked, best first; those of this node's share before the rest
+	void     bool
+	unranked bool      // fewer than two servers have been measured
+	setups   []Hist    // by service type
+	loads    []float64 // by service type, the sum and the number of loads told
+	loadN    []float64
+	known    map[uint64]float64 // loads of keys that may come again
+	tightest int64              // the shortest message target
+	placed   float64            // new connects, fading over rateTime
+	rateAt   int64
+
+	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
+	paceAt  int64
+	credit  float64
+	cutAt   int64
+	waiting []*Flow
+
+	watching bool
+	asking   bool
+	askAt    int64
+	dueAt    int64
+	alarmAt  int64
+	logAt    int64
+}
+
 // Group is a set of flows that share work on a server. Hash is the same at every node.
 type Group struct {
 	Hash  uint64
@@ -71,6 +108,7 @@
 	TypeNo   int
 	Group    *Group // nil without one
 	Hash     uint64 // of the flow's key; 0 without one
+	Again    bool   // its client has come before: a retry, or after a break or a move
 	Passed   bool   // its packets pass through and may land on another node
 	Deadline int64  // the client's connect timeout
 	Hint     float64
@@ -111,6 +149,7 @@
 	Seen       bool // named by the list being read
 
 	listed   bool
+	share    bool // in this node's share of the list
 	latency  Hist
 	rank     int64 // latency the order goes by, refreshed as samples come
 	flows    []*Flow
@@ -119,7 +158,6 @@
 	streak   int // good probes in a row while skipped
 	failures int // failed set-ups in a row
 	failedAt int64
-	rampFrom int64
 	rampTo   int64
 	budget   float64
 	budgetAt int64
--- a/simwire/door.go
+++ b/simwire/door.go
@@ -264,6 +264,7 @@
 		f := d.flow(id, l.index("Priority", len(n.set.Types), false))
 		l.count("Team", true)
 		f.Hash = key(l.take("Object"))
+		f.Again = flags&(2|16) != 0
 		f.Hint = hint(flags, l.number("PredictedMs"))
 		f.Group = n.group(l.take("Channel"))
 		left := l.time("LeftMs")
--- a/simwire/door_test.go
+++ b/simwire/door_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-const settings = "Balancers=1\tDiscovery=on_request\tLimits.MaxConnects=3\tLimits.MaxRetryAfterMs=1000.0\t" +
+const settings = "Balancers=1\tIndex=0\tDiscovery=on_request\tLimits.MaxConnects=3\tLimits.MaxRetryAfterMs=1000.0\t" +
 	"Limits.Probing=false\tLimits.RetryAfter=true\tMyZone=0\tObligations.AskWithinMs=10000.0\t" +
 	"Obligations.ColdFrom=0.1\tObligations.ColdMs=20000.0\tObligations.FallMs=3000.0\t" +
 	"Obligations.FallMultiple=3.0\tServiceTypes.count=1\tServiceTypes.0.Benefit=1.0\t" +
