Shared failures are judged over the servers tried of late, and the pace may fall lower

Cause: a third of all servers failing is never seen by a node that tries a few of 55, so a store past its limit was fed by three connects a flow; and a floor of 1 connect a second a node is 200 a second over the fleet. Now the share is taken of the servers tried within 3 s, and the floor is 0.1.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,6 +39,7 @@
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
 	logEvery    = 1_000_000
+	paceLeast   = 0.1
 	shareLeast  = 8 // servers in a node's share, and nodes that share a server
 	second      = 1_000_000
 	never       = int64(1) << 62
@@ -152,9 +153,9 @@
 		return
 	}
 	if b.pace == 0 {
-		b.pace, b.credit, b.paceAt = 2*b.rate()+1, 0, b.now
+		b.pace, b.credit, b.paceAt = 2*b.rate()+paceLeast, 0, b.now
 	}
-	b.cutAt, b.pace = b.now, max(b.pace*0.7, 1)
+	b.cutAt, b.pace = b.now, max(b.pace*0.7, paceLeast)
 	b.log("set-ups paced: they fail on many servers")
 }
 
@@ -389,7 +390,7 @@
 func (b *Balancer) Established(f *Flow, took int64) {
 	s := f.server
 	f.open = true
-	s.failures = 0
+	s.failures, s.triedAt = 0, b.now
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
 	if !f.Again {
@@ -442,20 +443,24 @@
 		b.measure(s, took)
 	}
 	s.failures++
-	s.failedAt = b.now
-	failing := 0
+	s.failedAt, s.triedAt = b.now, b.now
+	// Of the servers tried of late, not of all: with few flows a node tries few, whatever befalls them all.
+	failing, tried := 0, 0
 	for _, o := range b.servers {
+		if b.now-o.triedAt < 3*second {
+			tried++
+		}
 		if o.failures > 0 && b.now-o.failedAt < 3*second {
 			failing++
 		}
 	}
-	if end != Unreachable && failing > 1 && 3*failing > len(b.servers) {
+	if end != Unreachable && failing > 1 && 3*failing > tried {
 		b.strained()
 	}
 	if s.skipped || s.failures < failStreak {
 		return
 	}
-	if failing < 2 || 2*failing <= len(b.servers) || end == Unreachable {
+	if failing < 2 || 2*failing <= tried || end == Unreachable {
 		b.skip(s, "set-ups fail")
 	}
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -158,6 +158,7 @@
 	streak   int // good probes in a row while skipped
 	failures int // failed set-ups in a row
 	failedAt int64
+	triedAt  int64
 	rampTo   int64
 	budget   float64
 	budgetAt int64
