In a large fleet a group's server is drawn among its first by hash

Cause: where a node has fewer flows than servers its cap lets one flow through everywhere, so each node put its flow of a group on the first server by hash: that one got a flow from every node (busiest server 8 to 15 times the mean). Now it is drawn among the first few: two and the group's share of what this node holds and has seen.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -99,7 +99,7 @@
 	var head, best, least *Server
 	var bestAt, leastAt float64
 	ready := 0
-	near := b.near(f)
+	near, tight := b.near(f)
 	for _, s := range b.order {
 		if !s.share && f.Group == nil && least != nil {
 			break // the rest of the list only when the share has none
@@ -112,9 +112,12 @@
 			continue
 		}
 		like, factor := f.liking(s), capFactor
-		if like < near {
+		if like < near && tight {
 			continue
 		}
+		if like >= near && like < 1 && b.step > 1 {
+			like = near + (1-near)*b.rng.Float64() // guards the first by hash against a flow from each of many nodes
+		}
 		if like > 1 {
 			factor = capGroup
 		}
@@ -140,6 +143,10 @@
 		return
 	}
 	best.budget = max(best.budget-1, 0)
+	if f.Group != nil && f.Tries == 0 {
+		f.Group.seen++
+		b.seen++
+	}
 	f.server, f.sent = best, b.now
 	f.Tries++
 	best.add(f)
@@ -204,21 +211,18 @@
 
 // near is the liking from which a server may take a flow of this group. Guards against a group scattered over
 // the fleet: each server that holds any of it pays its shared work, so that scatter feeds on itself.
-func (b *Balancer) near(f *Flow) float64 {
+func (b *Balancer) near(f *Flow) (like float64, tight bool) {
 	if f.Group == nil {
-		return 0
+		return 0, false
 	}
-	n, all, well := float64(len(b.servers)), 1.0, 0.0
+	n, all, well := float64(len(b.servers)), 1+b.seen, 0.0
 	for _, s := range b.servers {
 		all += float64(len(s.flows))
 		if s.slow == 0 && s.load < s.limit {
 			well++
 		}
 	}
-	if well > n*wellShare {
-		return 0
-	}
-	return 1 - (spread+n*float64(f.Group.count)/all)/n
+	return 1 - (spread+n*(float64(f.Group.count)+f.Group.seen)/all)/n, well <= n*wellShare
 }
 
 // usable tells whether the rules and the streaks let this flow go to this server.
@@ -300,10 +304,10 @@
 	sum, n := int64(0), int64(0)
 	// In a large fleet a node uses every n-th server of the sorted list from a start of its own, so that it
 	// has flows enough to judge each by, and a server is not probed by all nodes.
-	step := max(1, min(len(b.servers), b.set.Nodes)/shareLeast)
+	b.step = max(1, min(len(b.servers), b.set.Nodes)/shareLeast)
 	_, part := math.Modf(float64(b.set.Index) * 0.618034) // even over nodes, and over every n-th of them
 	for i, s := range b.servers {
-		s.share = i%step == int(part*float64(step))
+		s.share = i%b.step == int(part*float64(b.step))
 		if s.latency.Total() > 0 {
 			sum += s.rank
 			n++
--- a/balance/types.go
+++ b/balance/types.go
@@ -71,6 +71,8 @@
 
 	servers  []*Server // on the list, by name
 	order    []*Server // ranked, best first; those of this node's share before the rest
+	step     int       // each so many servers of the list are in this node's share
+	seen     float64
 	void     bool
 	unranked bool      // fewer than two servers have been measured
 	setups   []Hist    // by service type
@@ -100,6 +102,7 @@
 	Hash  uint64
 	held  map[*Server]int
 	count int // flows of this node
+	seen  float64
 }
 
 // Flow is one connection asked for by a client.
