Pace from three times a node's usual rate to half of it; list order breaks ties

Cause: the pace began at twice the rate of fresh flows and fell to 0.1 a second, too low for a busy node.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,6 +39,7 @@
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
 	logEvery    = 1_000_000
+	paceStart   = 0.5 // connects a second, besides three times the usual rate
 	paceLeast   = 0.1
 	shareLeast  = 8 // servers in a node's share, and nodes that share a server
 	second      = 1_000_000
@@ -72,7 +73,6 @@
 	}
 }
 
-// Tick tells that an alarm has rung.
 func (b *Balancer) Tick() { b.alarmAt = never }
 
 // Demand takes a new flow, or one whose last connect failed.
@@ -160,9 +160,9 @@
 		return
 	}
 	if b.pace == 0 {
-		b.pace, b.credit, b.paceAt = 2*b.rate()+paceLeast, 0, b.now
+		b.pace, b.credit, b.paceAt = 3*b.rate()+paceStart, 0, b.now
 	}
-	b.cutAt, b.pace = b.now, max(b.pace*0.7, paceLeast)
+	b.cutAt, b.pace = b.now, max(b.pace*0.7, b.rate()/2, paceLeast)
 	b.log("set-ups paced: they fail on many servers")
 }
 
@@ -300,13 +300,14 @@
 		return
 	}
 	b.void = false
-	b.order = b.order[:0]
 	sum, n := int64(0), int64(0)
 	// In a large fleet a node uses every n-th server of the sorted list from a start of its own, so that it
 	// has flows enough to judge each by, and a server is not probed by all nodes.
 	b.step = max(1, min(len(b.servers), b.set.Nodes)/shareLeast)
 	_, part := math.Modf(float64(b.set.Index) * 0.618034) // even over nodes, and over every n-th of them
-	for i, s := range b.servers {
+	b.order = append(b.order[:0], b.servers...)
+	slices.SortFunc(b.order, func(x, y *Server) int { return cmp.Compare(x.Name, y.Name) })
+	for i, s := range b.order {
 		s.share = i%b.step == int(part*float64(b.step))
 		if s.latency.Total() > 0 {
 			sum += s.rank
@@ -314,11 +315,11 @@
 		}
 	}
 	b.unranked = n < 2
+	copy(b.order, b.servers)
 	for _, s := range b.servers {
 		if s.latency.Total() == 0 && n > 0 {
 			s.rank = sum / n
 		}
-		b.order = append(b.order, s)
 	}
 	slices.SortStableFunc(b.order, func(x, y *Server) int {
 		if x.share == y.share {
@@ -596,8 +597,7 @@
 	b.void = b.void || !s.listed || state != s.State
 	if state != Removed && !s.listed {
 		s.listed = true
-		at, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *Server) int { return cmp.Compare(x.Name, y.Name) })
-		b.servers = slices.Insert(b.servers, at, s)
+		b.servers = append(b.servers, s)
 	}
 	s.State, s.Size, s.Started, s.Seen = state, size, started, true
 	if state == Removed {
--- a/balance/types.go
+++ b/balance/types.go
@@ -69,7 +69,7 @@
 	now     int64
 	started int64
 
-	servers  []*Server // on the list, by name
+	servers  []*Server // as the list names them
 	order    []*Server // ranked, best first; those of this node's share before the rest
 	step     int       // each so many servers of the list are in this node's share
 	seen     float64
