--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,7 +19,7 @@
 	capFactor   = 1.25      // a server may hold this times the mean load for its size
 	capGroup    = 2.5       // and this times for a flow whose group it holds
 	capFloor    = 1.0       // and this many usual flows besides
-	probeEvery  = 5_000_000 // at most; half of it at least
+	probeEvery  = 5_000_000 // at most; four fifths of it at least
 	probeSoon   = 700_000   // for skipped servers
 	failStreak  = 3         // failed set-ups in a row that skip a server
 	goodStreak  = 2         // good probes in a row that bring it back
@@ -41,8 +41,7 @@
 	logEvery    = 1_000_000
 	paceStart   = 0.5 // connects a second, besides three times the usual rate
 	paceLeast   = 0.1
-	shareLeast  = 8 // servers in a node's share, and nodes that share a server
-	second      = 1_000_000
+	shareLeast  = 5 // servers in a node's share, and nodes that share a server
 	never       = int64(1) << 62
 	noLimit     = 1e18
 )
@@ -50,10 +49,9 @@
 func New(set *Settings, seed int64) *Balancer {
 	n := len(set.Types)
 	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
-		setups: make([]Hist, n), loads: make([]float64, n), loadN: make([]float64, n), started: -1,
-		known: map[uint64]float64{}}
+		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}}
 	for i, t := range set.Types {
-		b.loads[i], b.loadN[i] = firstLoad, 1
+		b.loads[i].Add(firstLoad, 1)
 		b.tightest = min(b.tightest, t.MessageTarget)
 	}
 	return b
@@ -63,7 +61,7 @@
 func (b *Balancer) Round(now int64, in func(*Balancer), out Writer) {
 	b.now, b.out = now, out
 	if b.started < 0 {
-		b.started, b.rateAt, b.askAt = now, now, now
+		b.started, b.askAt, b.fresh = now, now, Rate{from: now, at: now}
 	}
 	in(b)
 	next := b.release(b.due())
@@ -143,10 +141,6 @@
 		return
 	}
 	best.budget = max(best.budget-1, 0)
-	if f.Group != nil && f.Tries == 0 {
-		f.Group.seen++
-		b.seen++
-	}
 	f.server, f.sent = best, b.now
 	f.Tries++
 	best.add(f)
@@ -160,9 +154,9 @@
 		return
 	}
 	if b.pace == 0 {
-		b.pace, b.credit, b.paceAt = 3*b.rate()+paceStart, 0, b.now
+		b.pace, b.credit, b.paceAt = 3*b.fresh.PerSecond(b.now)+paceStart, 0, b.now
 	}
-	b.cutAt, b.pace = b.now, max(b.pace*0.7, b.rate()/2, paceLeast)
+	b.cutAt, b.pace = b.now, max(b.pace*0.7, b.fresh.PerSecond(b.now)/2, paceLeast)
 	b.log("set-ups paced: they fail on many servers")
 }
 
@@ -215,14 +209,17 @@
 	if f.Group == nil {
 		return 0, false
 	}
-	n, all, well := float64(len(b.servers)), 1+b.seen, 0.0
+	n, all, used, well := float64(len(b.servers)), 1.0, 0.0, 0.0
 	for _, s := range b.servers {
-		all += float64(len(s.flows))
-		if s.slow == 0 && s.load < s.limit {
-			well++
+		all += float64(len(s.flows) + s.taken)
+		if s.load > 0 || b.now-s.triedAt < 3*second {
+			used++ // of the others nothing is known
+			if s.slow == 0 && s.load < s.limit && s.asideTo <= b.now {
+				well++
+			}
 		}
 	}
-	return 1 - (spread+n*(float64(f.Group.count)+f.Group.seen)/all)/n, well <= n*wellShare
+	return 1 - (spread+n*float64(f.Group.count+f.Group.taken)/all)/n, well <= used*wellShare
 }
 
 // usable tells whether the rules and the streaks let this flow go to this server.
@@ -246,7 +243,7 @@
 		warm = 1 - (1-b.set.ColdFrom)*float64(end-b.now)/float64(b.set.ColdTime)
 		// Guards against all nodes together pushing over a cold server, over any window and from its first
 		// instant: it gets what this node usually connects to one server, times the share it can bear.
-		rate := b.rate() / float64(len(b.servers)) * warm * budgetShare * b.set.FallMultiple
+		rate := b.fresh.PerSecond(b.now) / float64(len(b.servers)) * warm * budgetShare * b.set.FallMultiple
 		s.budget = min(s.budget+rate*float64(b.now-s.budgetAt)/second, 1.5)
 		s.budgetAt = b.now
 		if s.budget < 1 {
@@ -261,16 +258,6 @@
 	return warm < 1 && b.rng.Float64() >= warm
 }
 
-// rate is this node's connects a second, over the last half minute or so.
-func (b *Balancer) rate() float64 {
-	const rateTime = 20 * second
-	if age := b.now - b.rateAt; age > second {
-		b.placed *= 1 - min(float64(age)/rateTime, 1)
-		b.rateAt = b.now
-	}
-	return b.placed / (float64(min(max(b.now-b.started, second), rateTime)) / second)
-}
-
 // usual is the load to count for a flow until the node is told: the hint, or the mean of its service type.
 func (b *Balancer) usual(f *Flow) float64 {
 	if load, ok := b.known[f.Hash]; ok {
@@ -279,7 +266,7 @@
 	if f.Hint > 0 {
 		return f.Hint
 	}
-	return b.loads[f.TypeNo] / b.loadN[f.TypeNo]
+	return b.loads[f.TypeNo].Value()
 }
 
 // mean is the own load per unit of size over the servers that this node uses.
@@ -399,7 +386,7 @@
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
 	if !f.Again {
-		b.placed++ // guards cold servers from a rate that a crowd of returning clients drives up
+		b.fresh.Add(b.now) // guards cold servers from a rate that a crowd of returning clients drives up
 	}
 	if b.pace > 0 {
 		b.pace *= 1.02
@@ -419,17 +406,21 @@
 		}
 		b.known[f.Hash] = f.load
 	}
+	stood := f.open
 	f.open = false
+	if stood && end == Severed && s.State == Up {
+		s.asideTo = b.now + slowHold // guards a server that drops what it can't serve: a lone flow leaves no limit
+		if b.step > 1 {
+			b.struck(s, end) // where a node loses a flow or two, it has no limit to go by
+		}
+	}
 	if over {
 		return
 	}
 	if !end.neverRan() && f.maybe == nil {
 		f.maybe, f.maybeAt = s, f.sent
 	}
-	switch end {
-	case Saturated:
-		s.asideTo = b.now + second/2 // full, not sick
-	case Unreachable, Overdue, Severed, Errored:
+	if end == Unreachable || end == Overdue || end == Severed || end == Errored { // a full server is not sick
 		b.failed(s, f, end, took)
 	}
 	if f.Deadline-b.now < 2_000 || end == Superseded {
@@ -448,26 +439,31 @@
 		b.measure(s, took)
 	}
 	s.failures++
+	failing, tried := b.struck(s, end)
+	if s.skipped || s.failures < failStreak {
+		return
+	}
+	if failing < 2 || 2*failing <= tried || end == Unreachable {
+		b.skip(s, "set-ups fail")
+	}
+}
+
+// struck counts the servers that failed last, of those tried of late, not of all: with few flows a node tries
+// few, whatever befalls them all. When many fail the cause is shared and connects are paced.
+func (b *Balancer) struck(s *Server, end Outcome) (failing, tried int) {
 	s.failedAt, s.triedAt = b.now, b.now
-	// Of the servers tried of late, not of all: with few flows a node tries few, whatever befalls them all.
-	failing, tried := 0, 0
 	for _, o := range b.servers {
 		if b.now-o.triedAt < 3*second {
 			tried++
-		}
-		if o.failures > 0 && b.now-o.failedAt < 3*second {
-			failing++
+			if o.failedAt == o.triedAt {
+				failing++
+			}
 		}
 	}
 	if end != Unreachable && failing > 1 && 3*failing > tried {
 		b.strained()
 	}
-	if s.skipped || s.failures < failStreak {
-		return
-	}
-	if failing < 2 || 2*failing <= tried || end == Unreachable {
-		b.skip(s, "set-ups fail")
-	}
+	return failing, tried
 }
 
 // skip leaves a server out until its streak of good probes, or for a while where no probes are allowed.
@@ -479,6 +475,7 @@
 	}
 	s.skipped, s.streak = true, 0
 	s.probeAt = min(s.probeAt, b.now+b.rng.Int63n(probeSoon))
+	b.dueAt = b.now
 }
 
 // Expired tells that the client left, or its time ran out.
@@ -495,12 +492,7 @@
 		return
 	}
 	f.measured = true
-	if b.loadN[f.TypeNo] >= 200 {
-		b.loads[f.TypeNo] /= 2
-		b.loadN[f.TypeNo] /= 2
-	}
-	b.loads[f.TypeNo] += perSecond
-	b.loadN[f.TypeNo]++
+	b.loads[f.TypeNo].Add(perSecond, 200)
 }
 
 // Slow tells how long messages take at a server now. Its limit goes under what it holds, and part of this
@@ -632,12 +624,18 @@
 		}
 		next = min(next, b.askAt)
 	}
+	if b.now < b.dueAt && !b.void {
+		return min(next, b.nextAt)
+	}
+	b.rank()
+	b.nextAt, b.dueAt = never, b.now+second/10
+	mean := b.mean()
 	for _, s := range b.servers {
 		if s.slow > 0 && b.now-s.slowAt > slowHold {
 			s.slow = 0
 		}
 		if b.now-s.growAt > second {
-			s.limit += limitGain * max(s.limit, b.mean()*s.Size)
+			s.limit += limitGain * max(s.limit, mean*s.Size)
 			s.growAt = b.now
 		}
 		if !b.set.Probing || s.State != Up || !s.share && s.load == 0 && !s.skipped {
@@ -649,14 +647,15 @@
 			if s.skipped && s.share {
 				every = probeSoon
 			}
-			s.probeAt = b.now + every/2 + b.rng.Int63n(every/2)
+			s.probeAt = b.now + every*4/5 + b.rng.Int63n(every/5)
 			b.out.Probe(s)
 		}
 		if !s.probeOut {
-			next = min(next, s.probeAt)
+			b.nextAt = min(b.nextAt, s.probeAt)
 		}
 	}
-	return next
+	b.dueAt = min(b.dueAt, b.nextAt)
+	return min(next, b.nextAt)
 }
 
 func (b *Balancer) log(line string) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -72,16 +72,13 @@
 	servers  []*Server // as the list names them
 	order    []*Server // ranked, best first; those of this node's share before the rest
 	step     int       // each so many servers of the list are in this node's share
-	seen     float64
 	void     bool
-	unranked bool      // fewer than two servers have been measured
-	setups   []Hist    // by service type
-	loads    []float64 // by service type, the sum and the number of loads told
-	loadN    []float64
+	unranked bool               // fewer than two servers have been measured
+	setups   []Hist             // by service type
+	loads    []Mean             // told, by service type
 	known    map[uint64]float64 // loads of keys that may come again
 	tightest int64              // the shortest message target
-	placed   float64            // new connects, fading over rateTime
-	rateAt   int64
+	fresh    Rate               // connects of clients that had not come before
 
 	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
 	paceAt  int64
@@ -92,7 +89,8 @@
 	watching bool
 	asking   bool
 	askAt    int64
-	dueAt    int64
+	dueAt    int64 // when the servers must next be gone through
+	nextAt   int64 // and when the first probe is due
 	alarmAt  int64
 	logAt    int64
 }
@@ -102,7 +100,7 @@
 	Hash  uint64
 	held  map[*Server]int
 	count int // flows of this node
-	seen  float64
+	taken int // connects that it ever made for this group
 }
 
 // Flow is one connection asked for by a client.
@@ -157,6 +155,7 @@
 	rank     int64 // latency the order goes by, refreshed as samples come
 	flows    []*Flow
 	load     float64 // own flows' work a second
+	taken    int     // connects ever made for flows with a group
 	skipped  bool
 	streak   int // good probes in a row while skipped
 	failures int // failed set-ups in a row
@@ -208,6 +207,8 @@
 		}
 		f.Group.held[s]++
 		f.Group.count++
+		f.Group.taken++
+		s.taken++
 	}
 }
 
