--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,8 @@
 	limitFloor  = 0.5    // of the mean share for its size
 	silentShare = 0.5    // of own load, moved at each further failed probe
 	moveShare   = 0.12   // of a slow server's own load a second
-	spread      = 2.0    // servers by hash that a group keeps to while many are unwell
+	spread      = 4.0    // servers by hash that a group keeps to, besides its share of the flows
+	tightShare  = 0.6    // of these while many servers are unwell
 	wellShare   = 0.75   // of the servers, over which groups may go anywhere
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
@@ -114,7 +115,10 @@
 			continue
 		}
 		if like >= near && like < 1 && b.step > 1 {
-			like = near + (1-near)*b.rng.Float64() // guards the first by hash against a flow from each of many nodes
+			like = near + (1-near)*b.rng.Float64()/2 // guards the first by hash against a flow from each node
+			if s.Zone == b.set.Zone {
+				like += (1 - near) / 2
+			}
 		}
 		if like > 1 {
 			factor = capGroup
@@ -219,7 +223,11 @@
 			}
 		}
 	}
-	return 1 - (spread+n*float64(f.Group.count+f.Group.taken)/all)/n, well <= used*wellShare
+	homes := spread + n*float64(f.Group.count+f.Group.taken)/all
+	if tight = well <= used*wellShare; tight {
+		homes *= tightShare
+	}
+	return 1 - homes/n, tight
 }
 
 // usable tells whether the rules and the streaks let this flow go to this server.
@@ -327,10 +335,7 @@
 func (b *Balancer) measure(s *Server, us int64) {
 	s.latency.Add(us, keepRank)
 	s.rank = s.latency.Quantile(0.5)
-	if b.unranked {
-		b.void = true
-	}
-	if b.void {
+	if b.void = b.void || b.unranked; b.void {
 		return
 	}
 	i := slices.Index(b.order, s)
@@ -378,7 +383,6 @@
 	s.add(f)
 }
 
-// Established tells that the connect stands.
 func (b *Balancer) Established(f *Flow, took int64) {
 	s := f.server
 	f.open = true
@@ -593,7 +597,8 @@
 	}
 	s.State, s.Size, s.Started, s.Seen = state, size, started, true
 	if state == Removed {
-		b.drop(s)
+		s.listed, b.void = false, true
+		b.servers = slices.DeleteFunc(b.servers, func(o *Server) bool { return o == s })
 	}
 }
 
@@ -601,17 +606,11 @@
 func (b *Balancer) ListEnd(kind ListKind) {
 	for i := len(b.servers) - 1; i >= 0 && kind == Whole; i-- {
 		if s := b.servers[i]; !s.Seen {
-			s.State = Removed
-			b.drop(s)
+			b.Entry(s, Removed, s.Size, s.Started)
 		}
 	}
 }
 
-func (b *Balancer) drop(s *Server) {
-	s.listed, b.void = false, true
-	b.servers = slices.DeleteFunc(b.servers, func(o *Server) bool { return o == s })
-}
-
 // due does what time asks for and returns when it must next be called.
 func (b *Balancer) due() int64 {
 	next := never
@@ -638,7 +637,7 @@
 			s.limit += limitGain * max(s.limit, mean*s.Size)
 			s.growAt = b.now
 		}
-		if !b.set.Probing || s.State != Up || !s.share && s.load == 0 && !s.skipped {
+		if !b.set.Probing || s.State != Up || !s.share && !s.skipped {
 			continue
 		}
 		if b.now >= s.probeAt && !s.probeOut {
--- a/balance/types.go
+++ b/balance/types.go
@@ -50,6 +50,7 @@
 type Settings struct {
 	Types        []ServiceType
 	Nodes, Index int // how many nodes there are, and which of them this is
+	Zone         int // of this node
 	MaxConnects  int
 	Probing      bool
 	OnRequest    bool  // the server list must be asked for
--- a/simwire/settings.go
+++ b/simwire/settings.go
@@ -71,6 +71,7 @@
 	s := &balance.Settings{
 		Nodes:        int(c.number("Balancers", 1)),
 		Index:        int(c.number("Index", 0)),
+		Zone:         int(c.number("MyZone", 0)),
 		MaxConnects:  int(c.number("Limits.MaxConnects", 1)),
 		Probing:      c.flag("Limits.Probing"),
 		OnRequest:    c.word("Discovery", "pushed", "on_request") == 1,
