Large fleets reject in step with unwell servers; equals are drawn for groups only

An unknown server is now taken to be as well as those in use: the flow is rejected in step, with two well servers assumed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -98,9 +98,9 @@
 	var head, best, least *Server
 	var bestAt, leastAt float64
 	ready := 0
-	near, tight := b.near(f)
+	near, tight, chance := b.near(f)
 	for _, s := range b.order {
-		if !s.share && f.Group == nil && least != nil {
+		if !s.share && f.Group == nil && !f.Passed && least != nil {
 			break // the rest of the list only when the share has none
 		}
 		// Guards against feeding a server that drowns: asked again later, a flow is better served.
@@ -114,7 +114,7 @@
 		if like < near && tight {
 			continue
 		}
-		if like >= near && like < 1 && b.step > 1 {
+		if f.Group != nil && like >= near && like < 1 && b.step > 1 {
 			like = near + (1-near)*b.rng.Float64()/2 // guards the first by hash against a flow from each node
 			if s.Zone == b.set.Zone {
 				like += (1 - near) / 2
@@ -140,7 +140,9 @@
 			best, bestAt = s, like
 		}
 	}
-	if best = cmp.Or(best, least); best == nil {
+	best = cmp.Or(best, least)
+	// Guards a large fleet that drowns: a server of which nothing is known is as well as those in use are.
+	if best == nil || b.step > 1 && tight && best.load == 0 && b.rng.Float64() >= chance {
 		b.giveUp(f)
 		return
 	}
@@ -209,9 +211,9 @@
 
 // near is the liking from which a server may take a flow of this group. Guards against a group scattered over
 // the fleet: each server that holds any of it pays its shared work, so that scatter feeds on itself.
-func (b *Balancer) near(f *Flow) (like float64, tight bool) {
+func (b *Balancer) near(f *Flow) (like float64, tight bool, chance float64) {
 	if f.Group == nil {
-		return 0, false
+		return 0, false, 1
 	}
 	n, all, used, well := float64(len(b.servers)), 1.0, 0.0, 0.0
 	for _, s := range b.servers {
@@ -227,7 +229,7 @@
 	if tight = well <= used*wellShare; tight {
 		homes *= tightShare
 	}
-	return 1 - homes/n, tight
+	return 1 - homes/n, tight, (well + 2) / (used + 2)
 }
 
 // usable tells whether the rules and the streaks let this flow go to this server.
@@ -482,7 +484,6 @@
 	b.dueAt = b.now
 }
 
-// Expired tells that the client left, or its time ran out.
 func (b *Balancer) Expired(f *Flow) { f.gone = true }
 
 // Load tells what an open flow asks for now.
