--- a/balance/balance.go
+++ b/balance/balance.go
@@ -455,7 +455,7 @@
 }
 
 // struck counts the servers that failed last, of those tried of late, not of all: with few flows a node tries
-// few, whatever befalls them all. When many fail the cause is shared and connects are paced.
+// few, whatever befalls them all. Many, and some in the own zone: a shared cause, and not a zone cut off.
 func (b *Balancer) struck(s *Server, end Outcome) (failing, tried int) {
 	s.failedAt, s.triedAt = b.now, b.now
 	for _, o := range b.servers {
@@ -466,7 +466,7 @@
 			}
 		}
 	}
-	if end != Unreachable && failing > 1 && 3*failing > tried {
+	if end != Unreachable && s.Zone == b.set.Zone && failing > 1 && 3*failing > tried {
 		b.strained()
 	}
 	return failing, tried
