A node on sockets: epoll loop, core without I/O, parsers, one decoder for both doors

The module is unchanged. simwire's settings decoder moved to settings/, where the nested form of a config file is flattened to the wire's paths, so that both doors decode alike.

--- /dev/null
+++ b/cmd/coursewinch/main.go
@@ -0,0 +1,151 @@
+// Coursewinch is one node of the balancer, on sockets.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"coursewinch/discovery"
+	"coursewinch/epoll"
+	"coursewinch/node"
+	"coursewinch/settings"
+)
+
+// held are the descriptors besides sockets: standard ones, the poll, the waker, the runtime's own, and the listener.
+const held = 16
+
+type config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      string
+	Limits    struct {
+		Memory  int64 `json:"memory_mb"`
+		Sockets int
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+
+	set   *settings.Settings
+	known discovery.List
+	seed  int64
+}
+
+func read(path string) (*config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, err
+	}
+	if c.Listen == "" || c.Discovery == "" {
+		return nil, errors.New("listen or discovery is missing")
+	}
+	if c.Limits.Memory < 0 || c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < 2*held {
+		return nil, fmt.Errorf("limits of %d MB and %d sockets can't be kept", c.Limits.Memory, c.Limits.Sockets)
+	}
+	if c.set, err = settings.JSON(c.Settings); err != nil {
+		return nil, err
+	}
+	if c.Seed != "" {
+		seed, err := strconv.ParseUint(c.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed %q is no hexadecimal number", c.Seed)
+		}
+		c.seed = int64(seed)
+	}
+	if len(c.Known) > 0 && string(c.Known) != "null" {
+		if c.known, err = discovery.ParseList(c.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return &c, nil
+}
+
+// door passes what the sockets bring on to the node, which is made after them.
+type door struct{ *node.Node }
+
+func run() error {
+	c, err := read(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	if c.Limits.Memory > 0 {
+		debug.SetMemoryLimit(c.Limits.Memory << 20 * 3 / 4)
+	}
+	most := c.Limits.Sockets
+	if most == 0 {
+		most = 1024
+	}
+	var stop, say atomic.Bool
+	d := &door{}
+	loop, err := epoll.New(most-held, d, func() {
+		if stop.Load() {
+			d.Stop()
+		}
+		if say.Swap(false) {
+			log.Printf("msg=counters %v", d.Count)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	d.Node = node.New(c.set, node.Config{Discovery: c.Discovery, Seed: c.seed}, loop)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				say.Store(true)
+			} else {
+				stop.Store(true)
+			}
+			loop.Wake()
+		}
+	}()
+	start := time.Now()
+	base := start.UnixMicro() // the wall clock, so that hosts' start times need no turning
+	clock := func() int64 { return base + time.Since(start).Microseconds() }
+	d.Begin(clock(), c.known)
+	at, err := loop.Listen(c.Listen)
+	if err != nil {
+		return err
+	}
+	log.Printf("msg=started name=%s listen=%s discovery=%s hosts=%d sockets=%d", c.Name, at, c.Discovery,
+		len(c.known.Entries), most)
+	for !d.Done() {
+		wait := int64(-1)
+		if next, ok := d.Next(); ok {
+			wait = max(next-clock(), 0)
+		}
+		if err := loop.Wait(wait); err != nil {
+			return fmt.Errorf("epoll: %w", err)
+		}
+		d.Turn(clock(), loop.Dispatch)
+	}
+	log.Printf("msg=stopped %v", d.Count)
+	return nil
+}
+
+var _ epoll.Handler = (*node.Node)(nil)
+
+func main() {
+	runtime.GOMAXPROCS(1)
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	if err := run(); err != nil {
+		fmt.Fprintf(os.Stderr, "coursewinch: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/epoll/loop.go
@@ -0,0 +1,415 @@
+// Package epoll serves sockets with one loop: it waits, moves bytes between sockets and rings, and tells a handler
+// what came in. It decides nothing.
+package epoll
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"coursewinch/lines"
+)
+
+// Handler hears of sockets by the ids that it gave them. An id is never used twice; its low half is below the number
+// of sockets that ever were open at once.
+type Handler interface {
+	Accept() (id uint64, in, out *lines.Ring)
+	Connected(id uint64)
+	Received(id uint64)         // there is more in its ring
+	Sent(id uint64)             // there is more room in its ring
+	Ended(id uint64, err error) // nil: the other side sends no more
+}
+
+const (
+	listenNo = -1
+	wakeNo   = -2
+	atOnce   = 128 // new connections a turn
+)
+
+type sock struct {
+	id      uint64
+	fd      int
+	in, out *lines.Ring
+	armed   uint32 // events asked for
+	dialing bool
+	eof     bool // the other side sends no more
+	shut    bool // no more to send once the ring is empty
+	quiet   bool // taken out of the poll after its end
+}
+
+// Loop holds the sockets of one program.
+type Loop struct {
+	poll, listener, wake int
+	most                 int // sockets at once
+	count                int
+	listening            bool // the listener is in the poll
+	h                    Handler
+	socks                []*sock
+	ready                [256]unix.EpollEvent
+	came                 int
+	failed               []failure // told in the next turn
+	woken                func()
+}
+
+type failure struct {
+	id  uint64
+	err error
+}
+
+// New makes a loop that holds at most so many sockets; woken is called in the turn after Wake.
+func New(most int, h Handler, woken func()) (*Loop, error) {
+	poll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l := &Loop{poll: poll, wake: wake, listener: -1, most: most, h: h, woken: woken}
+	return l, l.control(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN, wakeNo, 0)
+}
+
+func (l *Loop) control(op, fd int, events uint32, no, gen int32) error {
+	return unix.EpollCtl(l.poll, op, fd, &unix.EpollEvent{Events: events, Fd: no, Pad: gen})
+}
+
+func address(text string) (unix.Sockaddr, int, error) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return nil, 0, err
+	}
+	ip := a.Addr().Unmap()
+	if ip.Is4() {
+		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: ip.As4()}, unix.AF_INET, nil
+	}
+	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: ip.As16()}, unix.AF_INET6, nil
+}
+
+func open(text string) (fd int, to unix.Sockaddr, err error) {
+	to, family, err := address(text)
+	if err != nil {
+		return -1, nil, err
+	}
+	fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	return fd, to, err
+}
+
+// Listen takes connections at an address and returns the one it got.
+func (l *Loop) Listen(text string) (netip.AddrPort, error) {
+	fd, at, err := open(text)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen %q: %w", text, err)
+	}
+	if err := errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1), unix.Bind(fd, at),
+		unix.Listen(fd, 1024)); err != nil {
+		unix.Close(fd)
+		return netip.AddrPort{}, fmt.Errorf("listen %q: %w", text, err)
+	}
+	l.listener, l.listening = fd, true
+	if err := l.control(unix.EPOLL_CTL_ADD, fd, unix.EPOLLIN, listenNo, 0); err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	got, err := unix.Getsockname(fd)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	switch a := got.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)), nil
+	}
+	return netip.AddrPort{}, errors.New("listen: unknown kind of address")
+}
+
+// Wake ends a Wait from another goroutine.
+func (l *Loop) Wake() { unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0}) }
+
+// Room is how many more sockets may be opened.
+func (l *Loop) Room() int { return l.most - l.count }
+
+// Wait waits for events, at most so many microseconds; under 0 without end.
+func (l *Loop) Wait(us int64) error {
+	ms := -1
+	if us >= 0 {
+		ms = int(min((us+999)/1000, 60_000))
+	}
+	if len(l.failed) > 0 {
+		ms = 0
+	}
+	n, err := unix.EpollWait(l.poll, l.ready[:], ms)
+	if err == unix.EINTR {
+		n, err = 0, nil
+	}
+	l.came = max(n, 0)
+	return err
+}
+
+// Dispatch tells the handler what Wait brought, and what failed since.
+func (l *Loop) Dispatch() {
+	failed := l.failed
+	l.failed = nil
+	for _, f := range failed {
+		if l.get(f.id) != nil {
+			l.h.Ended(f.id, f.err)
+		}
+	}
+	for _, e := range l.ready[:l.came] {
+		switch e.Fd {
+		case listenNo:
+			l.accept()
+		case wakeNo:
+			var b [8]byte
+			unix.Read(l.wake, b[:])
+			l.woken()
+		default:
+			// The id guards a new socket in the same place against an event meant for the old one.
+			if s := l.get(uint64(uint32(e.Pad))<<32 | uint64(uint32(e.Fd))); s != nil {
+				l.event(s, e.Events)
+			}
+		}
+	}
+	l.came = 0
+}
+
+func (l *Loop) get(id uint64) *sock {
+	if no := int(uint32(id)); no < len(l.socks) && l.socks[no] != nil && l.socks[no].id == id {
+		return l.socks[no]
+	}
+	return nil
+}
+
+func (l *Loop) accept() {
+	for range atOnce {
+		if l.Room() < 1 {
+			l.listen(false) // guards against spinning on a queue that can't be served
+			return
+		}
+		fd, _, err := unix.Accept4(l.listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+			l.listen(false)
+			return
+		case unix.ECONNABORTED, unix.EINTR:
+			continue
+		default:
+			return
+		}
+		id, in, out := l.h.Accept()
+		s := l.add(id, fd, in, out)
+		l.arm(s)
+	}
+}
+
+// listen takes the listener into the poll or out of it; its queue stays as it is.
+func (l *Loop) listen(on bool) {
+	if l.listener < 0 || l.listening == on {
+		return
+	}
+	l.listening = on
+	events := uint32(0)
+	if on {
+		events = unix.EPOLLIN
+	}
+	l.control(unix.EPOLL_CTL_MOD, l.listener, events, listenNo, 0)
+}
+
+func (l *Loop) add(id uint64, fd int, in, out *lines.Ring) *sock {
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	s := &sock{id: id, fd: fd, in: in, out: out}
+	for len(l.socks) <= int(uint32(id)) {
+		l.socks = append(l.socks, nil)
+	}
+	l.socks[uint32(id)] = s
+	l.count++
+	if err := l.control(unix.EPOLL_CTL_ADD, fd, 0, int32(uint32(id)), int32(id>>32)); err != nil {
+		l.failed = append(l.failed, failure{id, err})
+	}
+	return s
+}
+
+// arm asks for the events that the state of the socket calls for.
+func (l *Loop) arm(s *sock) {
+	want := uint32(0)
+	if s.dialing || s.out.Len() > 0 {
+		want |= unix.EPOLLOUT
+	}
+	if !s.dialing && !s.eof && s.in.Free() > 0 {
+		want |= unix.EPOLLIN
+	}
+	if want != s.armed && !s.quiet {
+		s.armed = want
+		l.control(unix.EPOLL_CTL_MOD, s.fd, want, int32(uint32(s.id)), int32(s.id>>32))
+	}
+}
+
+// Dial opens a connection. Whatever comes of it is told in a later turn.
+func (l *Loop) Dial(id uint64, to string, in, out *lines.Ring) {
+	fd, at, err := open(to)
+	if err == nil {
+		if err = unix.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
+			s := l.add(id, fd, in, out)
+			s.dialing = true
+			l.arm(s)
+			return
+		}
+		unix.Close(fd)
+	}
+	// No socket, but the id needs a place for its failure to be told.
+	for len(l.socks) <= int(uint32(id)) {
+		l.socks = append(l.socks, nil)
+	}
+	l.socks[uint32(id)] = &sock{id: id, fd: -1, in: in, out: out, quiet: true}
+	l.failed = append(l.failed, failure{id, err})
+}
+
+func (l *Loop) event(s *sock, events uint32) {
+	if s.dialing {
+		code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && code != 0 {
+			err = unix.Errno(code)
+		}
+		if err != nil {
+			l.mute(s)
+			l.h.Ended(s.id, err)
+			return
+		}
+		s.dialing = false
+		l.h.Connected(s.id)
+		if l.get(s.id) == s {
+			l.arm(s)
+		}
+		return
+	}
+	if events&unix.EPOLLOUT != 0 && s.out.Len() > 0 {
+		if l.write(s) {
+			l.h.Sent(s.id)
+		}
+		if l.get(s.id) != s {
+			return
+		}
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		l.read(s, events)
+	}
+	if l.get(s.id) == s {
+		l.arm(s)
+	}
+}
+
+func (l *Loop) read(s *sock, events uint32) {
+	var end error
+	got := false
+	for !s.eof && end == nil {
+		space := s.in.Space()
+		if len(space) == 0 {
+			break
+		}
+		n, err := unix.Read(s.fd, space)
+		if n > 0 {
+			s.in.Grow(n)
+			got = true
+		}
+		if n == 0 && err == nil {
+			s.eof = true
+		} else if err == unix.EAGAIN {
+			break
+		} else if err != nil && err != unix.EINTR {
+			end = err
+		}
+	}
+	if end == nil && events&unix.EPOLLERR != 0 || end == nil && events&unix.EPOLLHUP != 0 && (s.eof || !got) {
+		if code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil && code != 0 {
+			end = unix.Errno(code)
+		} else if !s.eof {
+			end = unix.ECONNRESET
+		}
+		l.mute(s) // guards against spinning: these events can't be turned off
+	}
+	id, eof := s.id, s.eof
+	if got {
+		l.h.Received(id)
+	}
+	if end != nil && l.get(id) == s {
+		l.mute(s)
+		l.h.Ended(id, end)
+	} else if eof && l.get(id) == s {
+		l.h.Ended(id, nil)
+	}
+}
+
+func (l *Loop) mute(s *sock) {
+	if !s.quiet {
+		s.quiet = true
+		l.control(unix.EPOLL_CTL_DEL, s.fd, 0, 0, 0)
+	}
+}
+
+// write sends what the ring holds and tells whether any of it went.
+func (l *Loop) write(s *sock) (went bool) {
+	for s.out.Len() > 0 {
+		n, err := unix.Write(s.fd, s.out.Head())
+		if n > 0 {
+			s.out.Drop(n)
+			went = true
+		} else if err == unix.EINTR {
+			continue
+		} else {
+			if err != nil && err != unix.EAGAIN {
+				s.out.Drop(s.out.Len())
+				l.failed = append(l.failed, failure{s.id, err})
+			}
+			break
+		}
+	}
+	if s.shut && s.out.Len() == 0 {
+		unix.Shutdown(s.fd, unix.SHUT_WR)
+	}
+	return went
+}
+
+// Touch says that the rings of a socket have changed: what can be sent is sent, and reading goes on.
+func (l *Loop) Touch(id uint64) {
+	if s := l.get(id); s != nil && !s.dialing && s.fd >= 0 {
+		if s.out.Len() > 0 {
+			l.write(s)
+		}
+		l.arm(s)
+	}
+}
+
+// Shut ends the sending on a socket once its ring is empty.
+func (l *Loop) Shut(id uint64) {
+	if s := l.get(id); s != nil && !s.dialing && s.fd >= 0 && !s.shut {
+		s.shut = true
+		l.write(s)
+		l.arm(s)
+	}
+}
+
+// Close ends a socket at once.
+func (l *Loop) Close(id uint64) {
+	s := l.get(id)
+	if s == nil {
+		return
+	}
+	l.socks[uint32(id)] = nil
+	if s.fd < 0 {
+		return
+	}
+	unix.Close(s.fd)
+	l.count--
+	l.listen(l.Room() > 0)
+}
+
+// Reset ends a socket the way a broken one ends.
+func (l *Loop) Reset(id uint64) {
+	if s := l.get(id); s != nil && s.fd >= 0 {
+		unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	l.Close(id)
+}
--- /dev/null
+++ b/node/flows.go
@@ -0,0 +1,422 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"coursewinch/balance"
+	"coursewinch/lines"
+)
+
+// Stage is how far a flow's connect has come.
+type Stage uint8
+
+const (
+	Waiting     Stage = iota // no connect is out
+	Dialing                  // the connection is not up, or not all of the line is written
+	Asked                    // the host has the whole line
+	Established              // the host said so
+)
+
+var (
+	errTimeout = errors.New("timed out")
+	errEnded   = errors.New("ended without an answer")
+	errBusy    = errors.New("turned away")
+	errAnswer  = errors.New("answered with an error")
+	errLeaves  = errors.New("host leaves")
+)
+
+// ConnectError is why a connect failed, with how far it had come.
+type ConnectError struct {
+	Stage Stage
+	Cause error
+}
+
+func (e *ConnectError) Error() string { return fmt.Sprintf("stage %d: %v", e.Stage, e.Cause) }
+func (e *ConnectError) Unwrap() error { return e.Cause }
+
+// Outcome is what the module is told: before the last byte was written the flow can't have run.
+func (e *ConnectError) Outcome() balance.Outcome {
+	switch {
+	case errors.Is(e.Cause, errBusy), errors.Is(e.Cause, errLeaves):
+		return balance.Saturated
+	case e.Stage <= Dialing:
+		return balance.Unreachable
+	case errors.Is(e.Cause, errAnswer):
+		return balance.Errored
+	case errors.Is(e.Cause, errTimeout):
+		return balance.Overdue
+	}
+	return balance.Severed
+}
+
+// take reads the line with which a client asks for a connection and hands the flow to the module.
+func (n *Node) take(c *conn, line []byte) {
+	o, err := lines.ParseOpen(line)
+	if err != nil {
+		n.bad(c, err.Error())
+		return
+	}
+	kind, ok := n.set.Names[o.Class]
+	if !ok {
+		n.bad(c, "unknown service type")
+		return
+	}
+	f := &flow{open: o, client: c}
+	f.Flow = balance.Flow{Type: &n.set.Types[kind], TypeNo: kind, Hash: hash(o.Key), Again: o.Again, Hint: o.Hint,
+		Deadline: n.now + o.Wait - answerSlack, Passed: n.set.Passes, Ref: f}
+	f.timer.due = func() { n.flowDue(f) }
+	c.role, c.flow = client, f
+	n.times.off(&c.timer)
+	n.Count.Taken++
+	if n.net.Room() < reserve {
+		n.Count.Crowded++
+		n.answer(c, "BUSY\r\n")
+		return
+	}
+	f.id = n.flows.put(f)
+	f.join(n, o.Group)
+	if o.At != "" {
+		f.stood = true
+		n.Count.Stood++
+		n.rejoin(f)
+		return
+	}
+	n.times.set(&f.timer, f.Deadline)
+	n.b.Demand(&f.Flow)
+}
+
+// join finds the flow's group.
+func (f *flow) join(n *Node, name string) {
+	if name == "" || !n.set.Groups {
+		return
+	}
+	g := n.groups[name]
+	if g == nil {
+		if len(n.groups) >= mostGroups { // guards the memory: groups without flows are met anew
+			for _, o := range n.groups {
+				if o.flows == 0 {
+					delete(n.groups, o.name)
+				}
+			}
+		}
+		g = &group{name: name, Group: balance.Group{Hash: hash(name)}}
+		n.groups[name] = g
+	}
+	g.flows++
+	f.group, f.Group = g, &g.Group
+}
+
+// rejoin sends a flow to the host that held its connection before the run.
+func (n *Node) rejoin(f *flow) {
+	if f.Deadline+answerSlack <= n.now {
+		n.drop(f)
+		n.answer(f.client, "BUSY\r\n")
+		return
+	}
+	if h := n.hosts[f.open.At]; h != nil {
+		n.dial(f, h, f.Deadline-n.now)
+		return
+	}
+	n.times.set(&f.timer, n.now+rejoinEvery)
+}
+
+// dial opens the connection for a flow's connect.
+func (n *Node) dial(f *flow, h *host, wait int64) {
+	c := &conn{role: upstream, flow: f, host: h}
+	c.timer.due = func() { n.failed(f, errTimeout) }
+	c.id = n.conns.put(c)
+	f.link, f.host, f.sent, f.wait, f.stage = c, h, n.now, wait, Dialing
+	h.flows++
+	n.Count.Connects++
+	n.times.set(&f.timer, n.now+max(wait, 0))
+	if n.set.Dial > 0 && n.set.Dial < wait {
+		n.times.set(&c.timer, n.now+n.set.Dial)
+	}
+	n.net.Dial(c.id, h.addr, &c.in, &c.out)
+}
+
+// connected writes the client's line to a host whose connection is up.
+func (n *Node) connected(c *conn) {
+	f := c.flow
+	n.times.off(&c.timer)
+	if c.host.State != balance.Up && !f.stood {
+		n.failed(f, errLeaves) // guards against something new for a host that began to leave meanwhile
+		return
+	}
+	c.out.Put(f.open.Line(f.sent + f.wait - n.now))
+	n.net.Touch(c.id)
+	n.written(c)
+}
+
+func (n *Node) written(c *conn) {
+	if f := c.flow; f.stage == Dialing && c.up && c.out.Len() == 0 {
+		f.stage = Asked
+	}
+}
+
+// flowDue is called when a connect has taken its time, or when a flow without one has come to its end.
+func (n *Node) flowDue(f *flow) {
+	switch {
+	case f.over: // its end was called for in the turn before
+		n.report(f, balance.Recalled)
+	case f.stage == Established:
+		n.Count.Silent++
+		n.move(f)
+		n.end(f, balance.Severed)
+	case f.stage != Waiting:
+		n.failed(f, errTimeout)
+	case f.stood:
+		n.rejoin(f)
+	default: // guards the promise of one answer against a flow that the module has not answered
+		n.b.Expired(&f.Flow)
+		n.Abort(&f.Flow)
+	}
+}
+
+// failed ends a connect that brought no connection.
+func (n *Node) failed(f *flow, cause error) {
+	end := &ConnectError{f.stage, cause}
+	h, took := f.host, n.now-f.sent
+	n.close(f.link)
+	n.unlink(f)
+	if f.stood {
+		n.times.set(&f.timer, n.now+rejoinEvery)
+		return
+	}
+	n.times.set(&f.timer, max(f.Deadline, n.now+1))
+	n.b.Ended(&f.Flow, &h.Server, end.Outcome(), took, false)
+}
+
+func (n *Node) unlink(f *flow) {
+	if f.host != nil {
+		f.host.flows--
+	}
+	f.link, f.host, f.stage = nil, nil, Waiting
+	n.times.off(&f.timer)
+}
+
+// heard reads the first line that a host sent back.
+func (n *Node) heard(c *conn) {
+	f := c.flow
+	line := c.in.Line()
+	if line == nil {
+		if c.in.Len() > lines.Longest+2 {
+			n.failed(f, errAnswer)
+		} else if c.ended {
+			n.failed(f, errEnded)
+		}
+		return
+	}
+	word, _ := lines.Answer(line)
+	switch word {
+	case lines.Up:
+	case lines.Busy:
+		n.failed(f, errBusy)
+		return
+	default:
+		if f.stage == Dialing {
+			f.stage = Asked // it answers, so it has the line
+		}
+		n.failed(f, errAnswer)
+		return
+	}
+	f.client.out.Put(line)
+	c.in.Drop(len(line))
+	f.stage = Established
+	n.times.off(&f.timer)
+	n.Count.Established++
+	if f.stood {
+		n.b.Opened(&f.Flow, &c.host.Server)
+	} else {
+		n.b.Established(&f.Flow, n.now-f.sent)
+	}
+	n.net.Touch(f.client.id)
+	n.pass(f)
+}
+
+// pass moves lines both ways, whole ones only, so that a word of the node's own never falls into one.
+func (n *Node) pass(f *flow) {
+	for {
+		line, ok := next(f.client, f.link)
+		if !ok {
+			break
+		}
+		if line != nil && f.askedAt == 0 {
+			f.askedAt = n.now
+			n.times.set(&f.timer, n.now+silence)
+		}
+	}
+	for {
+		line, ok := next(f.link, f.client)
+		if !ok {
+			break
+		}
+		word, load := lines.Answer(line)
+		switch word {
+		case lines.Load:
+			n.b.Load(&f.Flow, load)
+			continue
+		case lines.Bye, lines.Move:
+			f.last = word
+		}
+		if f.askedAt > 0 {
+			f.host.took = append(f.host.took, n.now-f.askedAt)
+			f.askedAt = 0
+			n.times.off(&f.timer)
+		}
+	}
+	n.net.Touch(f.client.id)
+	n.net.Touch(f.link.id)
+	n.parted(f)
+}
+
+// next passes on one line from a connection to its other side, or what is left when no end of line will come. The
+// line is nil for a part of one.
+func next(from, to *conn) (line []byte, ok bool) {
+	line = from.in.Line()
+	whole := line != nil
+	if !whole && (from.in.Free() == 0 || from.ended) {
+		line = from.in.Peek(min(from.in.Len(), to.out.Free()))
+	}
+	if len(line) == 0 || !to.out.Put(line) {
+		return nil, false
+	}
+	part := to.midLine || !whole
+	to.midLine = !whole
+	line = append([]byte(nil), line...)
+	from.in.Drop(len(line))
+	if part {
+		return nil, true
+	}
+	return line, true
+}
+
+// parted ends an open flow once one side has ended and its last bytes are passed on.
+func (n *Node) parted(f *flow) {
+	c, h := f.client, f.link
+	switch {
+	case h.ended && (h.in.Len() == 0 || h.err != nil):
+		end := balance.Severed
+		switch f.last {
+		case lines.Bye:
+			end = balance.Completed
+		case lines.Move:
+			end = balance.Recalled
+		}
+		n.finish(c, h.err)
+		n.close(h)
+		n.end(f, end)
+	case c.ended && (c.in.Len() == 0 || c.err != nil):
+		n.finish(h, c.err)
+		n.close(c)
+		n.end(f, balance.Recalled)
+	}
+}
+
+// finish ends a connection in the way its other side ended: in order, or as broken.
+func (n *Node) finish(c *conn, err error) {
+	if err != nil && c.out.Len() == 0 {
+		n.net.Reset(c.id)
+		n.forget(c)
+		return
+	}
+	n.leave(c)
+}
+
+// move tells a client to come again and ends both sides.
+func (n *Node) move(f *flow) {
+	n.Count.Moves++
+	if !f.client.midLine {
+		f.client.out.Put([]byte("MOVE\r\n"))
+	}
+	n.leave(f.client)
+	n.leave(f.link)
+}
+
+// end tells the module that an open flow has ended.
+func (n *Node) end(f *flow, end balance.Outcome) {
+	if f.over {
+		return
+	}
+	f.over = true
+	n.report(f, end)
+}
+
+func (n *Node) report(f *flow, end balance.Outcome) {
+	h, took := f.host, n.now-f.sent
+	switch end {
+	case balance.Completed:
+		n.Count.Completed++
+	case balance.Severed:
+		n.Count.Severed++
+	}
+	n.drop(f)
+	if h != nil {
+		n.b.Ended(&f.Flow, &h.Server, end, took, true)
+	} else {
+		n.b.Expired(&f.Flow)
+	}
+}
+
+// drop takes a flow out of the tables.
+func (n *Node) drop(f *flow) {
+	f.over = true
+	n.unlink(f)
+	if f.group != nil {
+		f.group.flows--
+		f.group = nil
+	}
+	n.flows.drop(f.id)
+}
+
+// gone is called when a client has left before it had an answer.
+func (n *Node) gone(f *flow) {
+	n.Count.Left++
+	n.close(f.client)
+	if f.link != nil {
+		n.close(f.link)
+	}
+	if f.stood {
+		n.drop(f)
+		return
+	}
+	n.b.Expired(&f.Flow)
+	n.end(f, balance.Recalled)
+}
+
+// The Writer of the module.
+
+func (n *Node) Connect(bf *balance.Flow, s *balance.Server, timeout int64) {
+	n.dial(bf.Ref.(*flow), n.hosts[s.Name], timeout)
+}
+
+func (n *Node) Reject(bf *balance.Flow, wait int64) {
+	f := bf.Ref.(*flow)
+	n.Count.Rejected++
+	n.drop(f)
+	if wait > 0 {
+		n.answer(f.client, "BUSY "+strconv.FormatInt(wait/ms, 10)+"\r\n")
+		return
+	}
+	n.answer(f.client, "BUSY\r\n")
+}
+
+func (n *Node) Abort(bf *balance.Flow) {
+	f := bf.Ref.(*flow)
+	n.Count.Aborted++
+	n.drop(f)
+	n.answer(f.client, "ERR\r\n")
+}
+
+// Move ends an open flow at once; the module hears of its end in the next turn.
+func (n *Node) Move(bf *balance.Flow) {
+	f := bf.Ref.(*flow)
+	if f.over || f.stage != Established {
+		return
+	}
+	f.over = true
+	n.move(f)
+	n.times.set(&f.timer, n.now)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,323 @@
+// Package node is one node of the balancer without its sockets and its clock: it is given bytes, ends and times,
+// keeps flows, connections, probes and the watch on discovery, and carries out what package balance decides.
+package node
+
+import (
+	"fmt"
+	"log"
+	"math/rand"
+
+	"coursewinch/balance"
+	"coursewinch/discovery"
+	"coursewinch/lines"
+	"coursewinch/settings"
+)
+
+// Net is what a node asks of the sockets. Nothing is told back within a call.
+type Net interface {
+	Dial(id uint64, to string, in, out *lines.Ring)
+	Touch(id uint64) // the rings have changed: send, and read on
+	Shut(id uint64)  // send what the ring holds, then end the sending
+	Close(id uint64)
+	Reset(id uint64)
+	Room() int // connections that may still be opened
+}
+
+const (
+	ms          = int64(1000)
+	second      = 1000 * ms
+	answerSlack = 5 * ms      // kept back from a client's time, for the way to it
+	firstLine   = 30 * second // for a new connection to say what it wants
+	lingering   = 2 * second  // for the other side to take the last bytes
+	silence     = 5 * second  // a host that brings no line back for so long has lost its flow
+	watchQuiet  = 4500 * ms   // two of the lines that come every 2 s are missing
+	sayEvery    = second      // how long messages take is told so often
+	rejoinEvery = 300 * ms    // a connection that stood before is tried so often
+	reserve     = 8           // descriptors kept for connects, probes and discovery
+	mostGroups  = 65536
+)
+
+// Config is what a node is told at its start, besides the settings.
+type Config struct {
+	Discovery string
+	Seed      int64
+}
+
+// host is one server and what is connected to it besides flows.
+type host struct {
+	balance.Server
+	uid      string
+	addr     string
+	flows    int // with a connection to it
+	probe    *conn
+	probed   int64    // when the probe that is out was sent; 0 when none is
+	probeEnd deadline // when it is given up
+	took     []int64  // by messages, since they were last told
+	ages     []int64
+	told     bool
+}
+
+type group struct {
+	balance.Group
+	name  string
+	flows int
+}
+
+type role uint8
+
+const (
+	fresh    role = iota // a client that has not said what it wants
+	client               // of a flow
+	upstream             // to the host of a flow
+	probing
+	watching
+	leaving // closed once the other side has the last bytes
+)
+
+// conn is one connection, whichever side opened it.
+type conn struct {
+	id      uint64
+	role    role
+	in, out lines.Ring
+	flow    *flow
+	host    *host
+	up      bool
+	midLine bool // the last byte put into out does not end a line
+	ended   bool // the other side sends no more, and what it sent last may still be held here
+	err     error
+	timer   deadline
+	reader  discovery.Reader
+}
+
+// flow is one client's wish for a connection.
+type flow struct {
+	balance.Flow
+	id      uint64
+	open    *lines.Open
+	client  *conn
+	link    *conn // to the host
+	host    *host
+	group   *group
+	sent    int64 // when the connect was made
+	wait    int64 // how long it may take
+	stage   Stage
+	stood   bool // came with its connection open: it goes to its host and through no choice
+	over    bool
+	last    lines.Word // the host's word of parting
+	askedAt int64      // the first line passed to the host that nothing came back for; 0 for none
+	timer   deadline
+}
+
+// Node is one node.
+type Node struct {
+	set    *settings.Settings
+	conf   Config
+	net    Net
+	b      *balance.Balancer
+	rng    *rand.Rand
+	now    int64
+	conns  slots[conn]
+	flows  slots[flow]
+	hosts  map[string]*host
+	fleet  []*host // in the order in which they were first named
+	groups map[string]*group
+	times  deadlines
+	due    []*deadline
+	alarm  deadline
+	say    deadline
+	watch  *conn
+	rev    int64
+
+	stopAt  int64 // when the node was told to stop; 0 before
+	stopEnd int64
+	moving  deadline
+
+	Count Counters
+}
+
+// Counters are what a node has done since its start.
+type Counters struct {
+	Accepted, Taken, Stood, Connects, Established, Rejected, Aborted, Left, Bad, Crowded int
+	Completed, Severed, Moves, Silent, Probes, ProbesFailed, Calls, CallsFailed, Lists   int
+	Panics                                                                               int
+}
+
+func (c Counters) String() string {
+	return fmt.Sprintf("accepted=%d taken=%d stood=%d connects=%d established=%d rejected=%d aborted=%d left=%d "+
+		"bad=%d crowded=%d completed=%d severed=%d moves=%d silent=%d probes=%d probes_failed=%d calls=%d "+
+		"calls_failed=%d lists=%d panics=%d", c.Accepted, c.Taken, c.Stood, c.Connects, c.Established, c.Rejected,
+		c.Aborted, c.Left, c.Bad, c.Crowded, c.Completed, c.Severed, c.Moves, c.Silent, c.Probes, c.ProbesFailed,
+		c.Calls, c.CallsFailed, c.Lists, c.Panics)
+}
+
+// New makes a node that knows the list it had last.
+func New(set *settings.Settings, conf Config, net Net) *Node {
+	n := &Node{set: set, conf: conf, net: net, b: balance.New(&set.Settings, conf.Seed),
+		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[string]*group{}}
+	n.alarm.due = n.b.Tick
+	n.say.due = n.tellSlow
+	n.moving.due = n.moveOut
+	return n
+}
+
+// Begin is the first turn.
+func (n *Node) Begin(now int64, known discovery.List) {
+	n.Turn(now, func() {
+		n.list(balance.Remembered, known)
+		n.times.set(&n.say, now+sayEvery)
+	})
+}
+
+// Turn is one turn of the loop: in brings what came, then what is due is done, and the module decides. What its
+// decisions lead to reaches it in the next turn, never within its own call.
+func (n *Node) Turn(now int64, in func()) {
+	n.now = now
+	defer n.guard(nil)
+	n.due = n.times.take(now, n.due[:0])
+	n.b.Round(now, func(*balance.Balancer) {
+		in()
+		for _, d := range n.due {
+			if d.pos == taken { // neither called off nor set anew meanwhile
+				d.pos = 0
+				n.fire(d)
+			}
+		}
+	}, n)
+}
+
+func (n *Node) fire(d *deadline) {
+	defer n.guard(nil)
+	d.due()
+}
+
+// guard ends a panic at the connection that met it.
+func (n *Node) guard(c *conn) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	n.Count.Panics++
+	log.Printf("msg=panic text=%q", fmt.Sprint(p))
+	if c == nil {
+		return
+	}
+	defer func() { recover() }() // what the panic left behind may not be sound
+	if f := c.flow; f != nil {
+		n.end(f, balance.Severed)
+	}
+	n.close(c)
+}
+
+// Next is when the next turn is due at the latest; ok is false when only events matter.
+func (n *Node) Next() (at int64, ok bool) { return n.times.next() }
+
+// Stop begins an orderly end: new flows are still taken, and all clients are told to move, spread over the time.
+func (n *Node) Stop() {
+	if n.stopAt == 0 {
+		n.stopAt = n.now
+		n.stopEnd = n.now + min(max(n.set.Longest, second), 3*second) + second/2
+		n.times.set(&n.moving, n.now+moveStep)
+	}
+}
+
+// Done tells whether an orderly end has come to its end.
+func (n *Node) Done() bool {
+	return n.stopAt > 0 && (n.now >= n.stopEnd || n.now >= n.stopAt+stopLeast && n.flows.held == 0 && n.calm())
+}
+
+// calm tells whether no last bytes are on their way to a client.
+func (n *Node) calm() bool {
+	for _, s := range n.conns.all {
+		if s.v != nil && s.v.role == leaving && s.v.out.Len() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	moveStep  = 50 * ms
+	stopLeast = second // new connections may go on coming
+	moveSpare = second / 2
+)
+
+// moveOut moves the share of the open flows that this step is due. Guards against flows cut off at the kill, and
+// against a crowd that all comes again at once.
+func (n *Node) moveOut() {
+	open := 0
+	for _, s := range n.flows.all {
+		if s.v != nil && s.v.stage == Established {
+			open++
+		}
+	}
+	steps := max((n.stopEnd-moveSpare-n.now)/moveStep, 1)
+	due := (int64(open) + steps - 1) / steps
+	for _, s := range n.flows.all {
+		if f := s.v; f != nil && f.stage == Established && due > 0 {
+			due--
+			n.move(f)
+			n.end(f, balance.Recalled)
+		}
+	}
+	n.times.set(&n.moving, n.now+moveStep)
+}
+
+// list takes in a list of hosts.
+func (n *Node) list(kind balance.ListKind, l discovery.List) {
+	n.rev = max(n.rev, l.Rev)
+	n.b.List(kind)
+	for _, e := range l.Entries {
+		h := n.hosts[e.UID]
+		if h == nil {
+			h = &host{uid: e.UID, Server: balance.Server{Name: e.UID, Hash: hash(e.UID)}}
+			h.probeEnd.due = func() { n.probeFailed(h, balance.Overdue) }
+			n.hosts[e.UID] = h
+			n.fleet = append(n.fleet, h)
+		}
+		if e.Endpoint != "" && e.Endpoint != h.addr {
+			h.addr = e.Endpoint
+			n.dropProbe(h)
+		}
+		zone, ok := n.set.Zones[e.Zone]
+		if !ok {
+			zone = -1
+		}
+		h.Zone, h.Cell = zone, e.Cell
+		size := e.Size
+		if size <= 0 {
+			size = 1
+		}
+		state := map[string]balance.State{"ready": balance.Up, "draining": balance.Draining}
+		to, ok := state[e.State]
+		if !ok {
+			to = balance.Removed
+		}
+		n.b.Entry(&h.Server, to, size, e.BootMs*ms)
+	}
+	n.b.ListEnd(kind)
+	n.sweep()
+}
+
+// sweep forgets hosts that have left the list and hold nothing of this node.
+func (n *Node) sweep() {
+	kept := n.fleet[:0]
+	for _, h := range n.fleet {
+		if h.State == balance.Removed && h.flows == 0 && h.probed == 0 {
+			n.dropProbe(h)
+			delete(n.hosts, h.uid)
+			continue
+		}
+		kept = append(kept, h)
+	}
+	clear(n.fleet[len(kept):])
+	n.fleet = kept
+}
+
+// hash is FNV-1a, of what is named alike at every node.
+func hash(text string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	return h
+}
--- /dev/null
+++ b/node/tables.go
@@ -0,0 +1,135 @@
+package node
+
+// slots is a table of numbered places. An id is the number in its low half and, above it, how often the place has
+// been given out, so that an id kept too long finds nothing.
+type slots[T any] struct {
+	all  []slot[T]
+	free []uint32
+	held int
+}
+
+type slot[T any] struct {
+	uses uint32
+	v    *T
+}
+
+func (t *slots[T]) put(v *T) uint64 {
+	var no uint32
+	if n := len(t.free); n > 0 {
+		no = t.free[n-1]
+		t.free = t.free[:n-1]
+	} else {
+		no = uint32(len(t.all))
+		t.all = append(t.all, slot[T]{})
+	}
+	s := &t.all[no]
+	s.uses = (s.uses + 1) & 0x7fffffff
+	s.v = v
+	t.held++
+	return uint64(s.uses)<<32 | uint64(no)
+}
+
+func (t *slots[T]) get(id uint64) *T {
+	no := uint32(id)
+	if int(no) >= len(t.all) || t.all[no].uses != uint32(id>>32) {
+		return nil
+	}
+	return t.all[no].v
+}
+
+func (t *slots[T]) drop(id uint64) {
+	if t.get(id) != nil {
+		t.all[uint32(id)].v = nil
+		t.free = append(t.free, uint32(id))
+		t.held--
+	}
+}
+
+// deadline is one moment at which something is done unless it is called off. It is set and called off through the
+// one structure that holds them all.
+type deadline struct {
+	at  int64
+	pos int // in the heap from 1; 0 when off, taken when its time has come in this turn
+	due func()
+}
+
+const taken = -1
+
+// deadlines is a heap, the next one first.
+type deadlines struct{ heap []*deadline }
+
+func (h *deadlines) set(d *deadline, at int64) {
+	h.off(d)
+	d.at = at
+	h.heap = append(h.heap, d)
+	h.up(len(h.heap) - 1)
+}
+
+func (h *deadlines) off(d *deadline) {
+	i := d.pos - 1
+	d.pos = 0
+	if i < 0 {
+		return
+	}
+	last := len(h.heap) - 1
+	moved := h.heap[last]
+	h.heap[last] = nil
+	h.heap = h.heap[:last]
+	if i < last {
+		h.heap[i] = moved
+		h.down(i)
+		h.up(moved.pos - 1)
+	}
+}
+
+func (h *deadlines) up(i int) {
+	d := h.heap[i]
+	for i > 0 && h.heap[(i-1)/2].at > d.at {
+		h.heap[i] = h.heap[(i-1)/2]
+		h.heap[i].pos = i + 1
+		i = (i - 1) / 2
+	}
+	h.heap[i] = d
+	d.pos = i + 1
+}
+
+func (h *deadlines) down(i int) {
+	d := h.heap[i]
+	for {
+		c := 2*i + 1
+		if c >= len(h.heap) {
+			break
+		}
+		if c+1 < len(h.heap) && h.heap[c+1].at < h.heap[c].at {
+			c++
+		}
+		if h.heap[c].at >= d.at {
+			break
+		}
+		h.heap[i] = h.heap[c]
+		h.heap[i].pos = i + 1
+		i = c
+	}
+	h.heap[i] = d
+	d.pos = i + 1
+}
+
+// next is the time of the first one; ok is false when there is none.
+func (h *deadlines) next() (at int64, ok bool) {
+	if len(h.heap) == 0 {
+		return 0, false
+	}
+	return h.heap[0].at, true
+}
+
+// take takes out all that are due. What is set while they are done waits for the next turn, and each can still be
+// called off or set anew.
+func (h *deadlines) take(now int64, into []*deadline) []*deadline {
+	for len(h.heap) > 0 && h.heap[0].at <= now {
+		d := h.heap[0]
+		h.off(d)
+		d.pos = taken
+		into = append(into, d)
+	}
+	return into
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,202 @@
+// Package settings decodes what a node is told at its start, for every door: the simulator gives paths with values,
+// a config file the same as nested JSON.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"coursewinch/balance"
+)
+
+// conf reads the settings that the module uses; it keeps the first fault.
+type conf struct {
+	values map[string]string
+	err    error
+}
+
+func (c *conf) fail(key, what string) {
+	if c.err == nil {
+		c.err = fmt.Errorf("setting %s %s", key, what)
+	}
+}
+
+func (c *conf) number(key string, low float64) float64 {
+	v, ok := c.values[key]
+	if !ok {
+		c.fail(key, "is missing")
+		return 0
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= low && n < 1e12) {
+		c.fail(key, fmt.Sprintf("has the impossible value %q", v))
+	}
+	return n
+}
+
+func (c *conf) time(key string, low float64) int64 { return int64(c.number(key, low)*1000 + 0.5) }
+
+func (c *conf) word(key string, words ...string) int {
+	v, ok := c.values[key]
+	for i, w := range words {
+		if v == w {
+			return i
+		}
+	}
+	if !ok {
+		c.fail(key, "is missing")
+	} else {
+		c.fail(key, fmt.Sprintf("has the impossible value %q", v))
+	}
+	return 0
+}
+
+func (c *conf) flag(key string) bool { return c.word(key, "false", "true") == 1 }
+
+func (c *conf) list(key string) []string {
+	if v := c.values[key]; v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+// Settings are those of the module and what the doors read besides.
+type Settings struct {
+	balance.Settings
+	Passes  bool           // packets pass through in place of ending at the node
+	Names   map[string]int // of the service types
+	Zones   map[string]int
+	Groups  bool  // clients belong to groups that share work
+	Dial    int64 // a connection that is not up by then will not come
+	Longest int64 // connect timeout of any service type
+}
+
+// Pairs reads the simulator's form, PATH=VALUE a part.
+func Pairs(parts [][]byte) (*Settings, error) {
+	values := make(map[string]string, len(parts))
+	for _, p := range parts {
+		key, value, ok := strings.Cut(string(p), "=")
+		if !ok {
+			return nil, fmt.Errorf("setting %q has no value", p)
+		}
+		values[key] = value
+	}
+	return decode(values)
+}
+
+// JSON reads the nested form.
+func JSON(text []byte) (*Settings, error) {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if tree == nil {
+		return nil, errors.New("settings are missing")
+	}
+	values := map[string]string{}
+	flatten(values, "", tree)
+	return decode(values)
+}
+
+// flatten gives each plain value its path. A list of objects has its length under count and items by number; a
+// list of plain values is joined with commas.
+func flatten(values map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, item := range v {
+			at := name
+			if path != "" {
+				at = path + "." + name
+			}
+			flatten(values, at, item)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			if _, nested := item.(map[string]any); nested {
+				flatten(values, path+"."+strconv.Itoa(i), item)
+				values[path+".count"] = strconv.Itoa(i + 1)
+			} else {
+				plain = append(plain, word(item))
+			}
+		}
+		values[path] = strings.Join(plain, ",")
+	default:
+		values[path] = word(v)
+	}
+}
+
+var unfit = strings.NewReplacer(" ", "_", ",", "_")
+
+func word(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case bool:
+		return strconv.FormatBool(v)
+	case json.Number:
+		return v.String()
+	case string:
+		return unfit.Replace(v)
+	}
+	return fmt.Sprint(v)
+}
+
+func decode(values map[string]string) (*Settings, error) {
+	c := &conf{values: values}
+	s := &Settings{Settings: balance.Settings{
+		Nodes:        int(c.number("Balancers", 1)),
+		Index:        int(c.number("Index", 0)),
+		Zone:         int(c.number("MyZone", 0)),
+		MaxConnects:  int(c.number("Limits.MaxConnects", 1)),
+		Probing:      c.flag("Limits.Probing"),
+		OnRequest:    c.word("Discovery", "pushed", "on_request") == 1,
+		RetryAfter:   c.flag("Limits.RetryAfter"),
+		MaxWait:      c.time("Limits.MaxRetryAfterMs", 0),
+		ColdFrom:     c.number("Obligations.ColdFrom", 0),
+		ColdTime:     c.time("Obligations.ColdMs", 0),
+		FallMultiple: c.number("Obligations.FallMultiple", 0),
+	}, Names: map[string]int{}, Zones: map[string]int{}, Passes: values["Specifics.Mode"] == "pass",
+		Groups: values["Specifics.Groups"] == "true"}
+	if s.OnRequest {
+		s.AskWithin = c.time("Obligations.AskWithinMs", 1)
+	}
+	if _, ok := values["Limits.DialTimeoutMs"]; ok {
+		s.Dial = c.time("Limits.DialTimeoutMs", 1)
+	}
+	for i, name := range c.list("Localities") {
+		s.Zones[name] = i
+	}
+	targets := c.list("Specifics.MessageAimMs")
+	for i := range min(int(c.number("ServiceTypes.count", 1)), 1000) {
+		at := fmt.Sprintf("ServiceTypes.%d.", i)
+		t := balance.ServiceType{
+			SetupTarget: c.time(at+"SetupTargetMs", 0),
+			Effect:      balance.Effect(c.word(at+"Effect", "safe", "keyed", "unsafe")),
+		}
+		t.MessageTarget = t.SetupTarget
+		if i < len(targets) {
+			ms, err := strconv.ParseFloat(targets[i], 64)
+			if err != nil || !(ms > 0) {
+				c.fail("Specifics.MessageAimMs", fmt.Sprintf("has the impossible value %q", targets[i]))
+			}
+			t.MessageTarget = int64(ms * 1000)
+		}
+		if t.Effect == balance.Referenced {
+			t.Scope = balance.Scope(c.word(at+"Group", "all", "zone", "cell"))
+			t.Window = c.time(at+"WindowMs", 0)
+		}
+		s.Names[values[at+"Name"]] = i
+		if _, ok := values[at+"HardLimitMs"]; ok {
+			s.Longest = max(s.Longest, c.time(at+"HardLimitMs", 0))
+		}
+		s.Types = append(s.Types, t)
+	}
+	return s, c.err
+}
--- a/simwire/door.go
+++ b/simwire/door.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"coursewinch/balance"
+	"coursewinch/settings"
 )
 
 var outcomes = map[string]balance.Outcome{
@@ -32,8 +33,7 @@
 // node is one instance: its module and the ids it knows.
 type node struct {
 	b       *balance.Balancer
-	set     *balance.Settings
-	pass    bool // packets pass through in place of ending here
+	set     *settings.Settings
 	flows   map[string]*balance.Flow
 	servers map[string]*balance.Server
 	groups  map[string]*balance.Group
@@ -219,12 +219,12 @@
 			d.err = l.err
 			return true
 		}
-		set, pass, err := decode(l.parts[l.next:])
+		set, err := settings.Pairs(l.parts[l.next:])
 		if err != nil {
 			d.err = fmt.Errorf("line %d: configure: %w", l.no, err)
 			return true
 		}
-		d.cur = &node{b: balance.New(set, seed), set: set, pass: pass, flows: map[string]*balance.Flow{},
+		d.cur = &node{b: balance.New(&set.Settings, seed), set: set, flows: map[string]*balance.Flow{},
 			servers: map[string]*balance.Server{}, groups: map[string]*balance.Group{}}
 		d.nodes[d.at] = d.cur
 		return true
@@ -355,7 +355,7 @@
 
 func (d *Door) flow(id string, kind int) *balance.Flow {
 	kind = min(max(kind, 0), len(d.cur.set.Types)-1)
-	return &balance.Flow{Type: &d.cur.set.Types[kind], TypeNo: kind, Passed: d.cur.pass, Ref: &ref{id: id}}
+	return &balance.Flow{Type: &d.cur.set.Types[kind], TypeNo: kind, Passed: d.cur.set.Passes, Ref: &ref{id: id}}
 }
 
 func (n *node) group(p []byte) *balance.Group {
--- a/simwire/door_test.go
+++ b/simwire/door_test.go
@@ -6,13 +6,13 @@
 	"testing"
 )
 
-const settings = "Balancers=1\tIndex=0\tDiscovery=on_request\tLimits.MaxConnects=3\tLimits.MaxRetryAfterMs=1000.0\t" +
+const oneType = "Balancers=1\tIndex=0\tDiscovery=on_request\tLimits.MaxConnects=3\tLimits.MaxRetryAfterMs=1000.0\t" +
 	"Limits.Probing=false\tLimits.RetryAfter=true\tMyZone=0\tObligations.AskWithinMs=10000.0\t" +
 	"Obligations.ColdFrom=0.1\tObligations.ColdMs=20000.0\tObligations.FallMs=3000.0\t" +
 	"Obligations.FallMultiple=3.0\tServiceTypes.count=1\tServiceTypes.0.Benefit=1.0\t" +
 	"ServiceTypes.0.Effect=safe\tServiceTypes.0.SetupTargetMs=300.0\tUnheardOf=1"
 
-const begin = "mark\t1000.0\nat\t2\nconfigure\t7\t" + settings +
+const begin = "mark\t1000.0\nat\t2\nconfigure\t7\t" + oneType +
 	"\nannounce\tremembered\t1\t1\nitem\t10.0.0.1:70\t0\t0\t0\tup\t1\t-\nover_to_you\n"
 
 func run(t *testing.T, in string) (string, error) {
--- a/test.sh
+++ b/test.sh
@@ -2,7 +2,7 @@
 # Format check, vet, build and tests. Needs Go alone: no kit, no network.
 set -euo pipefail
 cd "$(dirname "$0")"
-unformatted=$(gofmt -l balance simwire cmd)
+unformatted=$(gofmt -l .)
 if [ -n "$unformatted" ]; then
 	echo "gofmt wants: $unformatted" >&2
 	exit 1
