--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand"
 	"slices"
 )
@@ -301,11 +300,11 @@
 	// In a large fleet a node uses every n-th server of the sorted list from a start of its own, so that it
 	// has flows enough to judge each by, and a server is not probed by all nodes.
 	b.step = max(1, min(len(b.servers), b.set.Nodes)/shareLeast)
-	_, part := math.Modf(float64(b.set.Index) * 0.618034) // even over nodes, and over every n-th of them
+	part := float64(b.set.Index) * 0.618034 // its fraction is even over nodes, and over every n-th of them
 	b.order = append(b.order[:0], b.servers...)
 	slices.SortFunc(b.order, func(x, y *Server) int { return cmp.Compare(x.Name, y.Name) })
 	for i, s := range b.order {
-		s.share = i%b.step == int(part*float64(b.step))
+		s.share = i%b.step == int((part-float64(int(part)))*float64(b.step))
 		if s.latency.Total() > 0 {
 			sum += s.rank
 			n++
@@ -369,12 +368,8 @@
 		b.out.Abort(f)
 		return
 	}
-	wait := int64(0)
-	if b.set.RetryAfter {
-		wait = b.set.MaxWait / 2
-	}
 	b.log("shedding: no server for a flow")
-	b.out.Reject(f, wait)
+	b.out.Reject(f, b.set.MaxWait/2)
 }
 
 // Opened takes over a connection that stood before this node saw it.
@@ -446,10 +441,7 @@
 	}
 	s.failures++
 	failing, tried := b.struck(s, end)
-	if s.skipped || s.failures < failStreak {
-		return
-	}
-	if failing < 2 || 2*failing <= tried || end == Unreachable {
+	if !s.skipped && s.failures >= failStreak && (failing < 2 || 2*failing <= tried || end == Unreachable) {
 		b.skip(s, "set-ups fail")
 	}
 }
@@ -493,11 +485,10 @@
 	}
 	f.server.load += perSecond - f.load
 	f.load = perSecond
-	if f.measured {
-		return
+	if !f.measured {
+		f.measured = true
+		b.loads[f.TypeNo].Add(perSecond, 200)
 	}
-	f.measured = true
-	b.loads[f.TypeNo].Add(perSecond, 200)
 }
 
 // Slow tells how long messages take at a server now. Its limit goes under what it holds, and part of this
@@ -571,10 +562,8 @@
 	if kind != Remembered && b.asking {
 		b.watching, b.asking = true, false
 	}
-	if kind != Changes {
-		for _, s := range b.servers {
-			s.Seen = false
-		}
+	for _, s := range b.servers {
+		s.Seen = s.Seen && kind == Changes
 	}
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -55,8 +55,7 @@
 	Probing      bool
 	OnRequest    bool  // the server list must be asked for
 	AskWithin    int64 // unasked for so long, a node is deemed told
-	RetryAfter   bool
-	MaxWait      int64
+	MaxWait      int64 // that clients obey when told to come again later; 0 where they are not told
 	ColdFrom     float64
 	ColdTime     int64
 	FallMultiple float64
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -157,13 +157,14 @@
 		MaxConnects:  int(c.number("Limits.MaxConnects", 1)),
 		Probing:      c.flag("Limits.Probing"),
 		OnRequest:    c.word("Discovery", "pushed", "on_request") == 1,
-		RetryAfter:   c.flag("Limits.RetryAfter"),
-		MaxWait:      c.time("Limits.MaxRetryAfterMs", 0),
 		ColdFrom:     c.number("Obligations.ColdFrom", 0),
 		ColdTime:     c.time("Obligations.ColdMs", 0),
 		FallMultiple: c.number("Obligations.FallMultiple", 0),
 	}, Names: map[string]int{}, Zones: map[string]int{}, Passes: values["Specifics.Mode"] == "pass",
 		Groups: values["Specifics.Groups"] == "true"}
+	if c.flag("Limits.RetryAfter") {
+		s.MaxWait = c.time("Limits.MaxRetryAfterMs", 0)
+	}
 	if s.OnRequest {
 		s.AskWithin = c.time("Obligations.AskWithinMs", 1)
 	}
