A probe far over the fastest counts as failed where nobody tells

Ruled out: set-ups as a sign (one in five seconds a server). balance.go Probed took any PONG within its wait as good.

Now a probe over 1.25 times the fastest of late and 1 ms fails: the design's skip, streak and ramp, and the moves off a skipped server that fails again, do the rest.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 	capFloor    = 1.0       // and this many usual flows besides
 	probeEvery  = 5_000_000 // at most; four fifths of it at least
 	probeSoon   = 700_000   // for skipped servers
+	probeLate   = 1_000     // over the fastest, besides a share of it, is late
 	failStreak  = 3         // failed set-ups in a row that skip a server
 	goodStreak  = 2         // good probes in a row that bring it back
 	setupSlow   = 2         // times the usual set-up; the rest counts as messages' time where nobody tells
@@ -367,7 +368,7 @@
 	b.out.Reject(f, b.set.MaxWait/2)
 }
 
-// Opened takes over a connection that stood before this node saw it.
+// Opened takes over a connection that stood before.
 func (b *Balancer) Opened(f *Flow, s *Server) {
 	f.server, f.open, f.Tries, f.load = s, true, 1, b.usual(f)
 	s.add(f)
@@ -474,7 +475,6 @@
 
 func (b *Balancer) Expired(f *Flow) { f.gone = true }
 
-// Load tells what an open flow asks for now.
 func (b *Balancer) Load(f *Flow, perSecond float64) {
 	if !f.open {
 		return
@@ -539,10 +539,12 @@
 	}
 }
 
-// Probed tells what a probe found.
 func (b *Balancer) Probed(s *Server, end Outcome, took int64) {
 	s.probeOut = false
-	if end == Completed {
+	// Guards flows on a server with work piled up where nobody tells: its probes wait as well.
+	late := b.set.Untold && s.fastest > 0 && float64(took) > (1+marginShare)*float64(s.fastest)+probeLate
+	if end == Completed && !late {
+		s.fastest = min(cmp.Or(s.fastest, took)+took/50, took)
 		b.measure(s, took)
 		s.streak++
 		if s.skipped && s.streak >= goodStreak {
@@ -576,7 +578,6 @@
 	}
 }
 
-// Entry takes one entry of the list.
 func (b *Balancer) Entry(s *Server, state State, size float64, started int64) {
 	b.void = b.void || !s.listed || state != s.State
 	if !s.listed && state != Removed {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -589,3 +589,20 @@
 		}
 	}
 }
+
+// Guards flows on a server with work piled up: where nobody tells, a probe far over the fastest fails.
+func TestLateProbesFailWhereNobodyTells(t *testing.T) {
+	for _, untold := range []bool{false, true} {
+		b, _ := start(2, Repeatable, ScopeAll)
+		b.set.Untold = untold
+		for _, took := range []int64{4_500, 4_300, 6_000, 7_500} {
+			if b.servers[0].skipped {
+				t.Fatal(untold, "skipped for an ordinary delay")
+			}
+			b.Probed(b.servers[0], Completed, took)
+		}
+		if b.servers[0].skipped != untold {
+			t.Fatal(untold)
+		}
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -174,6 +174,7 @@
 	movedAt  int64
 	asideTo  int64
 	probeAt  int64
+	fastest  int64 // probe of late
 	probeOut bool
 }
 
