--- a/balance/balance.go
+++ b/balance/balance.go
@@ -634,7 +634,7 @@
 			s.limit += limitGain * max(s.limit, mean*s.Size)
 			s.growAt = b.now
 		}
-		if s.State == Draining {
+		if b.set.Untold && s.State == Draining {
 			b.even(s, -1) // guards clients against being cut off when their server leaves
 		} else if b.set.Untold {
 			b.even(s, capFactor*mean*s.Size)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -562,6 +562,7 @@
 // Guards clients against being cut off when their server leaves.
 func TestFlowsMoveOffADrainingServer(t *testing.T) {
 	b, w := start(2, Repeatable, ScopeAll)
+	b.set.Untold = true
 	b.fill(b.servers[0], 4, 30_000)
 	b.servers[0].flows[2].Again = true
 	b.Entry(b.servers[0], Draining, 1, 0)
--- a/node/flows.go
+++ b/node/flows.go
@@ -66,6 +66,9 @@
 	f := &flow{open: o, client: c}
 	f.Flow = balance.Flow{Type: &n.set.Types[kind], TypeNo: kind, Hash: hash(o.Key), Again: o.Again, Hint: o.Hint,
 		Deadline: n.now + o.Wait - answerSlack, Passed: n.set.Passes, Ref: f}
+	if n.stopAt > 0 {
+		f.Deadline = min(f.Deadline, n.stopEnd-moveSpare/2) // guards its answer against the kill
+	}
 	f.timer.due = func() { n.flowDue(f) }
 	c.role, c.flow = client, f
 	n.times.off(&c.timer)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -414,6 +414,19 @@
 	}
 }
 
+// Guards what comes after the word to stop against being cut off without an answer.
+func TestFlowsThatComeAtTheEndAreAnswered(t *testing.T) {
+	n, w := ready(1)
+	n.Stop()
+	w.turn(400*ms, func() {})
+	c := w.client("OPEN 1 2 c=chat,d=9000\r\n")
+	w.connect()
+	for !n.Done() {
+		w.turn(moveStep, func() {})
+	}
+	w.want(t, c, "BUSY\r\n", "shut")
+}
+
 func TestStaleIdsFindNothing(t *testing.T) {
 	var s slots[int]
 	a := s.put(new(int))
