Clients that came again move too, from twice the mean and after five seconds

Ruled out: that the flows came from the front that way (they were placed while loads were even; their loads grew later). The line is balance.go even, !f.Again, which kept such a client for good.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,7 @@
 	marginShare = 0.25      // by this share of the leader's latency
 	capFactor   = 1.25      // a server may hold this times the mean load for its size
 	capGroup    = 2.5       // and this times for a flow whose group it holds
+	capAgain    = 1.6       // times the cap, placed flows move that came again, where nobody tells
 	capFloor    = 1.0       // and this many usual flows besides
 	probeEvery  = 5_000_000 // at most; four fifths of it at least
 	probeSoon   = 700_000   // for skipped servers
@@ -505,13 +506,13 @@
 	}
 }
 
-// even moves the heaviest flow whose server, without it, holds over this; each client once at most. Guards
+// even moves the heaviest flow whose server, without it, holds over this, again only if far over. Guards
 // flows on a server that drowns where nobody tells how long messages take: own load is all that shows it.
 func (b *Balancer) even(s *Server, most float64) {
 	var top *Flow
 	for _, f := range s.flows {
-		once := !f.Again || s.State == Draining
-		if f.open && !f.moved && once && s.load-f.load > most && (top == nil || f.load > top.load) {
+		due := !f.Again || s.State == Draining || b.now-f.sent > probeEvery && s.load-f.load > capAgain*most
+		if f.open && !f.moved && due && s.load-f.load > most && (top == nil || f.load > top.load) {
 			top = f
 		}
 	}
@@ -599,7 +600,6 @@
 	}
 }
 
-// ListEnd drops what a whole list no longer names.
 func (b *Balancer) ListEnd(kind ListKind) {
 	for i := len(b.servers) - 1; i >= 0 && kind == Whole; i-- {
 		if s := b.servers[i]; !s.Seen {
