--- /dev/null
+++ b/epoll/loop_test.go
@@ -0,0 +1,58 @@
+package epoll
+
+import (
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"coursewinch/lines"
+)
+
+type heard struct{ ended []uint64 }
+
+func (h *heard) Accept() (uint64, *lines.Ring, *lines.Ring) { return 0, nil, nil }
+func (h *heard) Connected(uint64)                           {}
+func (h *heard) Received(uint64)                            {}
+func (h *heard) Sent(uint64)                                {}
+func (h *heard) Ended(id uint64, err error)                 { h.ended = append(h.ended, id) }
+
+// Guards a new socket against an event meant for the one that had its place before.
+func TestStaleEventsReachNobody(t *testing.T) {
+	h := &heard{}
+	l, err := New(10, h, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const id = 2<<32 | 0
+	l.socks = []*sock{{id: id, fd: -1, in: new(lines.Ring), out: new(lines.Ring)}}
+	for _, gen := range []int32{1, 2} {
+		l.ready[0], l.came = unix.EpollEvent{Events: unix.EPOLLIN, Fd: 0, Pad: gen}, 1
+		l.Dispatch()
+		if gen == 1 && len(h.ended) != 0 {
+			t.Fatal("told of the old socket's event")
+		}
+	}
+	if len(h.ended) != 1 || h.ended[0] != id {
+		t.Fatal(h.ended)
+	}
+}
+
+// Guards a connect that fails at once against being told within the call that asked for it.
+func TestFailuresAreToldInTheNextTurn(t *testing.T) {
+	h := &heard{}
+	l, err := New(10, h, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const id = 1 << 32
+	l.Dial(id, "no address", new(lines.Ring), new(lines.Ring))
+	if len(h.ended) != 0 || l.Room() != 10 {
+		t.Fatal(h.ended, l.Room())
+	}
+	if err := l.Wait(-1); err != nil {
+		t.Fatal(err)
+	}
+	if l.Dispatch(); len(h.ended) != 1 {
+		t.Fatal(h.ended)
+	}
+}
