Lists that are pushed on the wire are asked for over HTTP

Seen while reading: with Discovery = pushed the module never calls Watch (balance.go, due), so a node on sockets would keep the list it remembered for good. node.New now asks at every site.

--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	lingering   = 2 * second  // for the other side to take the last bytes
 	silence     = 5 * second  // a host that brings no line back for so long has lost its flow
 	watchQuiet  = 4500 * ms   // two of the lines that come every 2 s are missing
+	askWithin   = 10 * second // where the settings state no time
 	sayEvery    = second      // how long messages take is told so often
 	rejoinEvery = 300 * ms    // a connection that stood before is tried so often
 	reserve     = 8           // descriptors kept for connects, probes and discovery
@@ -154,6 +155,9 @@
 
 // New makes a node that knows the list it had last.
 func New(set *settings.Settings, conf Config, net Net) *Node {
+	if !set.OnRequest { // over HTTP a list that is pushed on the wire must be asked for as well
+		set.OnRequest, set.AskWithin = true, askWithin
+	}
 	set.Untold = true // no line of the protocol tells how long messages take
 	n := &Node{set: set, conf: conf, net: net, b: balance.New(&set.Settings, conf.Seed),
 		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[string]*group{}}
