A node follows a new file on SIGHUP and holds out against bad clients

Ruled out: CPU (0.04 s in the worst second), memory (12 of 64 MB). A trace of reload shows that a watch asked with after=0 at rev 0 is told nothing, and one without after the whole list.

Changed: cmd reads the file on SIGHUP; node.Follow calls the new discovery beside the old, by its own rev; calls that hang are dropped after 1 to 1.5 s, silent watches after 3 s. First lines have 2.5 s, started ones after PONG too. accept keeps a descriptor for each connect owed; the silent are shed, oldest first; a connect or probe that found no descriptor says nothing of its host. Rings give up their memory when empty, groups without an established flow go. Log lines that others cause: one a second and kind, with a count.

--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -2,15 +2,18 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -53,6 +56,9 @@
 	if c.Listen == "" || c.Discovery == "" {
 		return nil, errors.New("listen or discovery is missing")
 	}
+	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
 	if c.Limits.Memory < 0 || c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < 2*held {
 		return nil, fmt.Errorf("limits of %d MB and %d sockets can't be kept", c.Limits.Memory, c.Limits.Sockets)
 	}
@@ -74,11 +80,38 @@
 	return &c, nil
 }
 
+// reload reads the file anew and gives the config that holds from now on. Guards a node in service against a file that
+// can't be used. Only discovery changes while it runs; of the rest it says what waits for the next start.
+func reload(path string, old *config, n *node.Node) *config {
+	c, err := read(path)
+	if err != nil {
+		log.Printf("msg=config_kept why=%q", err)
+		return old
+	}
+	later := ""
+	for _, part := range []struct {
+		name string
+		same bool
+	}{{"listen", c.Listen == old.Listen}, {"limits", c.Limits == old.Limits},
+		{"settings", bytes.Equal(c.Settings, old.Settings)}} {
+		if !part.same {
+			later += part.name + ","
+		}
+	}
+	log.Printf("msg=config_read discovery=%s next_start=%q", c.Discovery, strings.TrimSuffix(later, ","))
+	c.Listen, c.Limits, c.Settings = old.Listen, old.Limits, old.Settings
+	n.Follow(c.Discovery)
+	return c
+}
+
 // door passes what the sockets bring on to the node, which is made after them.
 type door struct{ *node.Node }
 
 func run() error {
-	c, err := read(os.Getenv("GW_CONFIG"))
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	path := os.Getenv("GW_CONFIG")
+	c, err := read(path)
 	if err != nil {
 		return fmt.Errorf("config: %w", err)
 	}
@@ -89,7 +122,7 @@
 	if most == 0 {
 		most = 1024
 	}
-	var stop, say atomic.Bool
+	var stop, say, again atomic.Bool
 	d := &door{}
 	loop, err := epoll.New(most-held, d, func() {
 		if stop.Load() {
@@ -98,18 +131,22 @@
 		if say.Swap(false) {
 			log.Printf("msg=counters %v", d.Count)
 		}
+		if again.Swap(false) {
+			c = reload(path, c, d.Node)
+		}
 	})
 	if err != nil {
 		return err
 	}
 	d.Node = node.New(c.set, node.Config{Discovery: c.Discovery, Seed: c.seed}, loop)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				say.Store(true)
-			} else {
+			case syscall.SIGHUP:
+				again.Store(true)
+			default:
 				stop.Store(true)
 			}
 			loop.Wake()
--- a/discovery/http.go
+++ b/discovery/http.go
@@ -13,10 +13,14 @@
 	longestList = 8 << 20
 )
 
-// Request asks for a watch that continues after a version.
+// Request asks for a watch that continues after a version, or under 0 for one that begins with the whole list.
 func Request(host string, after int64) []byte {
-	return fmt.Appendf(nil, "GET /discovery/hosts?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n"+
-		"Accept: application/json\r\n\r\n", after, host)
+	from := ""
+	if after >= 0 {
+		from = fmt.Sprintf("&after=%d", after)
+	}
+	return fmt.Appendf(nil, "GET /discovery/hosts?watch=1%s HTTP/1.1\r\nHost: %s\r\n"+
+		"Accept: application/json\r\n\r\n", from, host)
 }
 
 // ErrDone says that the answer came to its end.
--- a/epoll/loop.go
+++ b/epoll/loop.go
@@ -15,6 +15,7 @@
 // Handler hears of sockets by the ids that it gave them. An id is never used twice; its low half is below the number
 // of sockets that ever were open at once.
 type Handler interface {
+	Spare() bool // whether one more client's connection may be taken; if not, a Close makes the loop ask again
 	Accept() (id uint64, in, out *lines.Ring)
 	Connected(id uint64)
 	Received(id uint64)         // there is more in its ring
@@ -184,7 +185,7 @@
 
 func (l *Loop) accept() {
 	for range atOnce {
-		if l.Room() < 1 {
+		if !l.h.Spare() || l.Room() < 1 {
 			l.listen(false) // guards against spinning on a queue that can't be served
 			return
 		}
@@ -249,7 +250,10 @@
 
 // Dial opens a connection. Whatever comes of it is told in a later turn.
 func (l *Loop) Dial(id uint64, to string, in, out *lines.Ring) {
-	fd, at, err := open(to)
+	fd, at, err := -1, unix.Sockaddr(nil), error(unix.EMFILE)
+	if l.Room() > 0 {
+		fd, at, err = open(to)
+	}
 	if err == nil {
 		if err = unix.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
 			s := l.add(id, fd, in, out)
@@ -330,6 +334,7 @@
 		}
 		l.mute(s) // guards against spinning: these events can't be turned off
 	}
+	s.in.Drop(0)
 	id, eof := s.id, s.eof
 	if got {
 		l.h.Received(id)
--- a/epoll/loop_test.go
+++ b/epoll/loop_test.go
@@ -10,6 +10,7 @@
 
 type heard struct{ ended []uint64 }
 
+func (h *heard) Spare() bool                                { return true }
 func (h *heard) Accept() (uint64, *lines.Ring, *lines.Ring) { return 0, nil, nil }
 func (h *heard) Connected(uint64)                           {}
 func (h *heard) Received(uint64)                            {}
--- a/lines/ring.go
+++ b/lines/ring.go
@@ -2,29 +2,34 @@
 // lines.
 package lines
 
-import "bytes"
+import (
+	"bytes"
+	"sync"
+)
 
 const (
 	Longest  = 4096 // of a line, without its end
 	RingSize = 2 * Longest
 )
 
-// Ring is a byte queue of fixed size. Its memory comes with the first byte.
+type block [RingSize]byte
+
+// blocks are those that no ring holds. Guards the memory: of a thousand connections few have bytes on their way.
+var blocks = sync.Pool{New: func() any { return new(block) }}
+
+// Ring is a byte queue of fixed size. Its memory comes with the first byte and goes with the last.
 type Ring struct {
-	buf      []byte
+	buf      *block
 	start, n int
 }
 
 func (r *Ring) Len() int  { return r.n }
 func (r *Ring) Free() int { return RingSize - r.n }
 
-// Space is the part that the next bytes may be put into; Grow counts them in.
+// Space is the part that the next bytes may be put into; Grow counts them in. If none come, Drop(0) gives it back.
 func (r *Ring) Space() []byte {
 	if r.buf == nil {
-		r.buf = make([]byte, RingSize)
-	}
-	if r.n == 0 {
-		r.start = 0
+		r.buf, r.start = blocks.Get().(*block), 0
 	}
 	from := (r.start + r.n) % RingSize
 	return r.buf[from:min(from+r.Free(), RingSize)]
@@ -32,14 +37,24 @@
 
 func (r *Ring) Grow(n int) { r.n += n }
 
-// Head is the first bytes held, as far as they lie in one piece; Drop takes them off.
-func (r *Ring) Head() []byte { return r.buf[r.start:min(r.start+r.n, len(r.buf))] }
+// Head is the first bytes held, as far as they lie in one piece; Drop takes them off, and none of them may be used
+// after it.
+func (r *Ring) Head() []byte {
+	if r.buf == nil {
+		return nil
+	}
+	return r.buf[r.start:min(r.start+r.n, RingSize)]
+}
 
 func (r *Ring) Drop(n int) {
 	r.n -= n
 	if r.start += n; r.start >= RingSize {
 		r.start -= RingSize
 	}
+	if r.n == 0 && r.buf != nil {
+		blocks.Put(r.buf)
+		r.buf = nil
+	}
 }
 
 // Put takes all of p or nothing.
--- a/node/conns.go
+++ b/node/conns.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"container/list"
+	"errors"
 	"log"
 	"slices"
 
@@ -9,11 +11,79 @@
 	"coursewinch/lines"
 )
 
+// queue puts a connection last into a queue of those that may be shed, or out of all.
+func (n *Node) queue(c *conn, q *list.List) {
+	if c.queue != nil {
+		c.queue.Remove(c.place)
+	}
+	if c.queue = q; q != nil {
+		c.place, c.since = q.PushBack(c), n.now
+	}
+}
+
+// owed is how many descriptors are kept for connects of flows taken, for probes and for discovery.
+func (n *Node) owed() int {
+	owed := reserve + n.flows.held - n.links
+	for _, h := range n.fleet {
+		if h.probe == nil && n.set.Probing {
+			owed++
+		}
+	}
+	return owed
+}
+
+// Spare tells whether one more client can be taken. Room is made for it: each that may yet ask is owed a second
+// descriptor. Guards usual clients, connects, probes and the watch against crowds that ask nothing.
+func (n *Node) Spare() bool {
+	for n.net.Room() <= n.owed()+n.mute.Len() && n.shed() {
+	}
+	if n.net.Room() > n.owed()-reserve/2 { // half of the reserve is for being told BUSY
+		return true
+	}
+	n.times.set(&n.room, n.now+settled)
+	return false
+}
+
+// makeRoom tries again when nobody could be shed.
+func (n *Node) makeRoom() {
+	for n.net.Room() <= n.owed() {
+		if !n.shed() {
+			n.times.set(&n.room, n.now+settled)
+			return
+		}
+	}
+}
+
+// shed closes the connection that is missed least: the one that had its last line first, then the one that has
+// said nothing for longest, then the last that asked PING; the front's is the first of these.
+func (n *Node) shed() bool {
+	for _, q := range []*list.List{&n.going, &n.mute} {
+		if q.Len() > 0 {
+			if c := q.Front().Value.(*conn); n.now-c.since >= settled {
+				n.Count.Shed++
+				if c.role == fresh {
+					c.out.Put([]byte("BUSY\r\n"))
+					n.net.Touch(c.id)
+				}
+				n.close(c)
+				return true
+			}
+		}
+	}
+	if n.kept.Len() > 1 {
+		n.Count.Shed++
+		n.close(n.kept.Back().Value.(*conn))
+		return true
+	}
+	return false
+}
+
 // Accept takes a new connection of a client.
 func (n *Node) Accept() (id uint64, in, out *lines.Ring) {
 	c := &conn{role: fresh, up: true}
-	c.timer.due = func() { n.close(c) }
+	c.timer.due = func() { n.bad(c, errMute) }
 	c.id = n.conns.put(c)
+	n.queue(c, &n.mute)
 	n.Count.Accepted++
 	n.times.set(&c.timer, n.now+firstLine)
 	return c.id, &c.in, &c.out
@@ -34,8 +104,9 @@
 		c.out.Put([]byte("PING\r\n"))
 		n.net.Touch(c.id)
 	case watching:
-		c.out.Put(discovery.Request(n.conf.Discovery, n.rev))
+		c.out.Put(discovery.Request(c.from, c.rev))
 		n.net.Touch(c.id)
+		n.times.set(&c.timer, n.now+min(watchFirst<<min(n.unheard, 4), 3*watchQuiet))
 	}
 }
 
@@ -50,8 +121,12 @@
 	case fresh:
 		n.greet(c)
 	case client:
-		if c.flow.stage == Established && !c.flow.over {
+		switch {
+		case c.flow.over:
+		case c.flow.stage == Established:
 			n.pass(c.flow)
+		default:
+			n.early(c.flow)
 		}
 	case upstream:
 		switch {
@@ -66,17 +141,27 @@
 	case watching:
 		n.watchHeard(c)
 	case leaving:
+		c.drained += c.in.Len()
 		c.in.Drop(c.in.Len())
+		if c.drained > mostDrained {
+			n.close(c) // guards the loop against those who send on for ever
+		}
 	}
 }
 
 // Sent is told when bytes have gone and there is room again.
 func (n *Node) Sent(id uint64) {
 	c := n.conns.get(id)
-	if c == nil || c.flow == nil || c.flow.over {
+	if c == nil {
 		return
 	}
 	defer n.guard(c)
+	if c.role == fresh {
+		n.greet(c) // what was held back for want of room in its ring
+	}
+	if c.flow == nil || c.flow.over {
+		return
+	}
 	if c.role == upstream {
 		n.written(c)
 	}
@@ -118,44 +203,91 @@
 	case probing:
 		n.probeEnded(c)
 	case watching:
-		n.refused("ended")
+		n.refused(c, "ended")
 	default:
 		n.close(c)
 	}
 }
 
+var (
+	errMute  = errors.New("no whole line in time")
+	errFlood = errors.New("too many lines at once")
+)
+
 // greet answers what a client says before it has a flow.
 func (n *Node) greet(c *conn) {
-	for c.role == fresh {
+	for asked := 0; c.role == fresh; asked++ {
 		line := c.in.Line()
-		if line == nil {
-			if c.in.Len() > lines.Longest+2 {
-				n.bad(c, "line too long")
+		switch {
+		case line == nil && c.in.Len() > lines.Longest+2:
+			n.bad(c, lines.ErrLong)
+			return
+		case line == nil:
+			if c.in.Len() > 0 && c.queue == &n.kept {
+				n.queue(c, &n.mute) // guards descriptors against lines that never end
+				n.times.set(&c.timer, n.now+firstLine)
 			}
 			return
-		}
-		if string(lines.Bare(line)) != "PING" {
+		case string(lines.Bare(line)) != "PING":
 			line = append([]byte(nil), line...)
 			c.in.Drop(len(line))
 			n.take(c, line)
 			return
-		}
-		if c.out.Free() < 6 {
+		case asked == mostAtOnce:
+			n.bad(c, errFlood)
+			return
+		case c.out.Free() < 6:
 			return // it asks and does not listen
 		}
 		c.in.Drop(len(line))
 		c.out.Put([]byte("PONG\r\n"))
 		n.times.off(&c.timer) // the front may keep it
+		if c.queue != &n.kept {
+			n.queue(c, &n.kept)
+		}
 		n.net.Touch(c.id)
 	}
 }
 
-func (n *Node) bad(c *conn, why string) {
+// bad answers a client that can't be understood. It teaches the module nothing.
+func (n *Node) bad(c *conn, why error) {
 	n.Count.Bad++
-	log.Printf("msg=bad_line why=%q", why)
+	n.note("bad_line", why.Error())
 	n.answer(c, "ERR\r\n")
 }
 
+// kind is one kind of log line that others can cause.
+type kind struct {
+	deadline
+	count int
+}
+
+// note writes such a line, one a second and kind at most; of those kept back it tells how many they were. Guards
+// the loop against waiting on its log.
+func (n *Node) note(msg, why string) {
+	k := n.logs[msg+why]
+	if k == nil {
+		if len(n.logs) >= mostKinds {
+			return
+		}
+		k = &kind{}
+		k.due = func() {
+			if k.count == 0 {
+				delete(n.logs, msg+why)
+				return
+			}
+			log.Printf("msg=%s why=%q count=%d", msg, why, k.count)
+			k.count = 0
+			n.times.set(&k.deadline, n.now+second)
+		}
+		n.logs[msg+why] = k
+		n.times.set(&k.deadline, n.now+second)
+		log.Printf("msg=%s why=%q count=1", msg, why)
+		return
+	}
+	k.count++
+}
+
 // answer sends a client its last line.
 func (n *Node) answer(c *conn, line string) {
 	c.out.Put([]byte(line))
@@ -168,6 +300,7 @@
 		return
 	}
 	c.role, c.flow = leaving, nil
+	n.queue(c, &n.going)
 	if c.ended && c.out.Len() == 0 || !c.up {
 		n.close(c)
 		return
@@ -186,6 +319,7 @@
 
 func (n *Node) forget(c *conn) {
 	n.times.off(&c.timer)
+	n.queue(c, nil)
 	c.flow = nil
 	c.role = leaving
 	n.conns.drop(c.id)
@@ -195,8 +329,13 @@
 func (n *Node) Probe(s *balance.Server) {
 	h := n.hosts[s.Name]
 	n.Count.Probes++
-	h.probed = n.now
+	h.probed, h.unsent = n.now, false
 	n.times.set(&h.probeEnd, n.now+n.probeWait())
+	if h.probe == nil && n.net.Room() < 1 && !n.shed() {
+		h.unsent = true
+		n.times.set(&h.probeEnd, n.now)
+		return
+	}
 	if h.probe != nil {
 		h.probe.out.Put([]byte("PING\r\n"))
 		n.net.Touch(h.probe.id)
@@ -272,47 +411,74 @@
 	}
 }
 
-// Watch asks discovery for what has changed since the last version, and to go on telling.
+// Watch asks discovery for what has changed since the last version, and to go on telling. A version counts at its own
+// address only: another is asked for the whole list. What is watched already goes on until the answer comes.
 func (n *Node) Watch() {
-	if n.watch != nil {
-		n.close(n.watch)
+	if n.call != nil {
+		return // its own deadline ends it
 	}
-	c := &conn{role: watching}
-	c.timer.due = func() { n.refused("silent") }
+	c := &conn{role: watching, from: n.conf.Discovery, rev: -1}
+	if c.from == n.from {
+		c.rev = n.rev
+	}
+	c.timer.due = func() { n.refused(c, "silent") }
 	c.id = n.conns.put(c)
-	n.watch = c
+	n.call = c
 	n.Count.Calls++
-	n.times.set(&c.timer, n.now+watchQuiet)
-	n.net.Dial(c.id, n.conf.Discovery, &c.in, &c.out)
+	n.times.set(&c.timer, n.now+watchUp)
+	n.net.Dial(c.id, c.from, &c.in, &c.out)
 }
 
 func (n *Node) watchHeard(c *conn) {
-	n.times.set(&c.timer, n.now+watchQuiet)
+	if c != n.call {
+		n.times.set(&c.timer, n.now+watchQuiet)
+	}
 	for c.in.Len() > 0 {
 		p := c.in.Head()
-		err := c.reader.Feed(p, func(l discovery.List) {
-			kind := balance.Changes
-			if l.All {
-				kind = balance.Whole
-			}
-			n.Count.Lists++
-			n.list(kind, l)
-		})
-		c.in.Drop(len(p))
+		size := len(p)
+		err := c.reader.Feed(p, func(l discovery.List) { n.told(c, l) })
+		if n.conns.get(c.id) != c {
+			return // a fault of what it told has ended it
+		}
+		c.in.Drop(size)
 		if err != nil {
-			n.refused(err.Error())
+			n.refused(c, err.Error())
 			return
 		}
 	}
 	n.net.Touch(c.id)
 }
 
-// refused ends a watch that is broken, silent or makes no sense; the module asks again.
-func (n *Node) refused(why string) {
+// told takes in a list. The first of a call makes it the one that is watched.
+func (n *Node) told(c *conn, l discovery.List) {
+	if c == n.call {
+		if n.watch != nil {
+			n.close(n.watch)
+		}
+		n.call, n.watch, n.unheard = nil, c, 0
+		n.times.set(&c.timer, n.now+watchQuiet)
+		log.Printf("msg=watching discovery=%s rev=%d all=%t hosts=%d", c.from, l.Rev, l.All, len(l.Entries))
+	}
+	kind := balance.Changes
+	if l.All {
+		kind = balance.Whole
+	}
+	n.from, n.rev = c.from, l.Rev
+	n.Count.Lists++
+	n.list(kind, l)
+}
+
+// refused ends a watch or call that is broken, silent or makes no sense; the module asks again.
+func (n *Node) refused(c *conn, why string) {
 	n.Count.CallsFailed++
-	log.Printf("msg=watch_lost why=%q rev=%d", why, n.rev)
-	n.close(n.watch)
-	n.watch = nil
+	log.Printf("msg=watch_lost why=%q discovery=%s rev=%d", why, c.from, n.rev)
+	n.close(c)
+	if c == n.watch {
+		n.watch = nil
+	} else if c == n.call {
+		n.call = nil
+		n.unheard++
+	}
 	n.b.List(balance.Refused)
 	n.b.ListEnd(balance.Refused)
 }
--- a/node/flows.go
+++ b/node/flows.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"coursewinch/balance"
 	"coursewinch/lines"
@@ -25,6 +26,7 @@
 	errBusy    = errors.New("turned away")
 	errAnswer  = errors.New("answered with an error")
 	errLeaves  = errors.New("host leaves")
+	errRoom    = errors.New("no descriptor left")
 )
 
 // ConnectError is why a connect failed, with how far it had come.
@@ -39,6 +41,8 @@
 // Outcome is what the module is told: before the last byte was written the flow can't have run.
 func (e *ConnectError) Outcome() balance.Outcome {
 	switch {
+	case errors.Is(e.Cause, errRoom):
+		return balance.Superseded
 	case errors.Is(e.Cause, errBusy), errors.Is(e.Cause, errLeaves):
 		return balance.Saturated
 	case e.Stage <= Dialing:
@@ -51,34 +55,55 @@
 	return balance.Severed
 }
 
+var (
+	errType  = errors.New("unknown service type")
+	errTaken = errors.New("id of an open flow")
+	errEarly = errors.New("more than a line before the answer")
+)
+
 // take reads the line with which a client asks for a connection and hands the flow to the module.
 func (n *Node) take(c *conn, line []byte) {
 	o, err := lines.ParseOpen(line)
 	if err != nil {
-		n.bad(c, err.Error())
+		n.bad(c, err)
 		return
 	}
 	kind, ok := n.set.Names[o.Class]
-	if !ok {
-		n.bad(c, "unknown service type")
+	switch {
+	case !ok:
+		n.bad(c, errType)
+		return
+	case n.ids[o.ID] != nil: // guards the open flow of that id: a host would take this one for it
+		n.bad(c, errTaken)
 		return
+	case c.in.Len() > 0:
+		n.bad(c, errEarly)
+		return
+	}
+	wait := o.Wait
+	if most := n.set.Limits[kind]; most > 0 && o.At == "" {
+		wait = min(wait, most)
 	}
-	f := &flow{open: o, client: c}
+	f := &flow{open: o, client: c, name: strings.Clone(o.ID)}
 	f.Flow = balance.Flow{Type: &n.set.Types[kind], TypeNo: kind, Hash: hash(o.Key), Again: o.Again, Hint: o.Hint,
-		Deadline: n.now + o.Wait - answerSlack, Passed: n.set.Passes, Ref: f}
+		Deadline: n.now + wait - answerSlack, Passed: n.set.Passes, Ref: f}
 	if n.stopAt > 0 {
 		f.Deadline = min(f.Deadline, n.stopEnd-moveSpare/2) // guards its answer against the kill
 	}
 	f.timer.due = func() { n.flowDue(f) }
 	c.role, c.flow = client, f
+	n.queue(c, nil)
 	n.times.off(&c.timer)
 	n.Count.Taken++
-	if n.net.Room() < reserve {
+	for n.net.Room() <= n.owed() && n.shed() {
+	}
+	if n.net.Room() < n.owed() {
 		n.Count.Crowded++
 		n.answer(c, "BUSY\r\n")
 		return
 	}
 	f.id = n.flows.put(f)
+	n.ids[f.name] = f
 	f.join(n, o.Group)
 	if o.At != "" {
 		f.stood = true
@@ -95,17 +120,18 @@
 	if name == "" || !n.set.Groups {
 		return
 	}
-	g := n.groups[name]
+	id := hash(name)
+	g := n.groups[id]
 	if g == nil {
 		if len(n.groups) >= mostGroups { // guards the memory: groups without flows are met anew
-			for _, o := range n.groups {
+			for id, o := range n.groups {
 				if o.flows == 0 {
-					delete(n.groups, o.name)
+					delete(n.groups, id)
 				}
 			}
 		}
-		g = &group{name: name, Group: balance.Group{Hash: hash(name)}}
-		n.groups[name] = g
+		g = &group{Group: balance.Group{Hash: id}}
+		n.groups[id] = g
 	}
 	g.flows++
 	f.group, f.Group = g, &g.Group
@@ -132,6 +158,14 @@
 	c.id = n.conns.put(c)
 	f.link, f.host, f.sent, f.wait, f.stage = c, h, n.now, wait, Dialing
 	h.flows++
+	n.links++
+	for n.net.Room() < 1 && n.shed() {
+	}
+	if n.net.Room() < 1 {
+		c.timer.due = func() { n.failed(f, errRoom) }
+		n.times.set(&c.timer, n.now) // the module is told in the next turn
+		return
+	}
 	n.Count.Connects++
 	n.times.set(&f.timer, n.now+max(wait, 0))
 	if n.set.Dial > 0 && n.set.Dial < wait {
@@ -195,6 +229,7 @@
 func (n *Node) unlink(f *flow) {
 	if f.host != nil {
 		f.host.flows--
+		n.links--
 	}
 	f.link, f.host, f.stage = nil, nil, Waiting
 	n.times.off(&f.timer)
@@ -227,7 +262,10 @@
 	}
 	f.client.out.Put(line)
 	c.in.Drop(len(line))
-	f.stage = Established
+	f.stage, f.open = Established, nil
+	if f.group != nil {
+		f.group.stood = true
+	}
 	n.times.off(&f.timer)
 	n.Count.Established++
 	if f.stood {
@@ -367,17 +405,33 @@
 func (n *Node) drop(f *flow) {
 	f.over = true
 	n.unlink(f)
-	if f.group != nil {
-		f.group.flows--
+	if g := f.group; g != nil {
+		if g.flows--; g.flows == 0 && !g.stood {
+			delete(n.groups, g.Hash) // guards the memory against names that never led anywhere
+		}
 		f.group = nil
 	}
+	if n.ids[f.name] == f {
+		delete(n.ids, f.name)
+	}
 	n.flows.drop(f.id)
 }
 
+// early is called when a client goes on before its answer, though it must wait.
+func (n *Node) early(f *flow) {
+	n.bad(f.client, errEarly)
+	n.withdraw(f)
+}
+
 // gone is called when a client has left before it had an answer.
 func (n *Node) gone(f *flow) {
 	n.Count.Left++
 	n.close(f.client)
+	n.withdraw(f)
+}
+
+// withdraw takes back a flow that has no answer yet.
+func (n *Node) withdraw(f *flow) {
 	if f.link != nil {
 		n.close(f.link)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"container/list"
 	"fmt"
 	"log"
 	"math/rand"
@@ -27,15 +28,21 @@
 	ms          = int64(1000)
 	second      = 1000 * ms
 	answerSlack = 5 * ms      // kept back from a client's time, for the way to it
-	firstLine   = 30 * second // for a new connection to say what it wants
+	firstLine   = 2500 * ms   // for a new connection to say what it wants, and for a line to come to its end
+	mostAtOnce  = 16          // lines of one read that are answered before a flow
 	lingering   = 2 * second  // for the other side to take the last bytes
+	mostDrained = 64 << 10    // bytes that a connection which has its last line may still send
 	silence     = 5 * second  // a host that brings no line back for so long has lost its flow
-	watchQuiet  = 4500 * ms   // two of the lines that come every 2 s are missing
+	watchUp     = second      // for a call to discovery to come up
+	watchFirst  = 1500 * ms   // for its first list; longer with each call that had none
+	watchQuiet  = 3 * second  // one of the lines that come every 2 s is missing
 	askWithin   = 10 * second // where the settings state no time
 	sayEvery    = second      // how long messages take is told so often
 	rejoinEvery = 300 * ms    // a connection that stood before is tried so often
-	reserve     = 8           // descriptors kept for connects, probes and discovery
-	mostGroups  = 65536
+	reserve     = 8           // descriptors kept besides those that are owed to hosts
+	settled     = 100 * ms    // a connection that has said nothing for so long may be shed
+	mostGroups  = 4096
+	mostKinds   = 64 // of log lines
 )
 
 // Config is what a node is told at its start, besides the settings.
@@ -53,6 +60,7 @@
 	probe    *conn
 	probed   int64    // when the probe that is out was sent; 0 when none is
 	probeEnd deadline // when it is given up
+	unsent   bool     // for want of a descriptor
 	took     []int64  // by messages, since they were last told
 	ages     []int64
 	told     bool
@@ -60,8 +68,8 @@
 
 type group struct {
 	balance.Group
-	name  string
 	flows int
+	stood bool // one of its flows was established
 }
 
 type role uint8
@@ -87,14 +95,21 @@
 	ended   bool // the other side sends no more, and what it sent last may still be held here
 	err     error
 	timer   deadline
+	queue   *list.List // among those that may be shed
+	place   *list.Element
+	since   int64 // when it came into that
+	drained int
 	reader  discovery.Reader
+	from    string // the address of discovery
+	rev     int64  // told by it last
 }
 
 // flow is one client's wish for a connection.
 type flow struct {
 	balance.Flow
 	id      uint64
-	open    *lines.Open
+	open    *lines.Open // until it is established
+	name    string      // its id on the wire
 	client  *conn
 	link    *conn // to the host
 	host    *host
@@ -120,14 +135,24 @@
 	conns  slots[conn]
 	flows  slots[flow]
 	hosts  map[string]*host
-	fleet  []*host // in the order in which they were first named
-	groups map[string]*group
+	fleet  []*host          // in the order in which they were first named
+	ids    map[string]*flow // by the id that clients gave
+	groups map[uint64]*group
+	links  int // connections to hosts for flows
 	times  deadlines
 	due    []*deadline
 	alarm  deadline
 	say    deadline
-	watch  *conn
-	rev    int64
+
+	mute, kept, going list.List // clients that ask nothing: without a whole line, after PONG, after the last line
+	room              deadline
+	logs              map[string]*kind
+
+	call    *conn // to discovery, without a list yet
+	watch   *conn // brings lists
+	unheard int   // calls in a row without a list
+	from    string
+	rev     int64 // of the list held, as this address counts
 
 	slowFrom int64 // messages that take longer are told
 
@@ -140,17 +165,17 @@
 
 // Counters are what a node has done since its start.
 type Counters struct {
-	Accepted, Taken, Stood, Connects, Established, Rejected, Aborted, Left, Bad, Crowded int
-	Completed, Severed, Moves, Silent, Probes, ProbesFailed, Calls, CallsFailed, Lists   int
-	Panics                                                                               int
+	Accepted, Taken, Stood, Connects, Established, Rejected, Aborted, Left, Bad, Crowded, Shed int
+	Completed, Severed, Moves, Silent, Probes, ProbesFailed, Calls, CallsFailed, Lists         int
+	Reloads, Panics                                                                            int
 }
 
 func (c Counters) String() string {
 	return fmt.Sprintf("accepted=%d taken=%d stood=%d connects=%d established=%d rejected=%d aborted=%d left=%d "+
-		"bad=%d crowded=%d completed=%d severed=%d moves=%d silent=%d probes=%d probes_failed=%d calls=%d "+
-		"calls_failed=%d lists=%d panics=%d", c.Accepted, c.Taken, c.Stood, c.Connects, c.Established, c.Rejected,
-		c.Aborted, c.Left, c.Bad, c.Crowded, c.Completed, c.Severed, c.Moves, c.Silent, c.Probes, c.ProbesFailed,
-		c.Calls, c.CallsFailed, c.Lists, c.Panics)
+		"bad=%d crowded=%d shed=%d completed=%d severed=%d moves=%d silent=%d probes=%d probes_failed=%d calls=%d "+
+		"calls_failed=%d lists=%d reloads=%d panics=%d", c.Accepted, c.Taken, c.Stood, c.Connects, c.Established, c.Rejected,
+		c.Aborted, c.Left, c.Bad, c.Crowded, c.Shed, c.Completed, c.Severed, c.Moves, c.Silent, c.Probes, c.ProbesFailed,
+		c.Calls, c.CallsFailed, c.Lists, c.Reloads, c.Panics)
 }
 
 // New makes a node that knows the list it had last.
@@ -160,7 +185,8 @@
 	}
 	set.Untold = true // no line of the protocol tells how long messages take
 	n := &Node{set: set, conf: conf, net: net, b: balance.New(&set.Settings, conf.Seed),
-		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[string]*group{}}
+		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[uint64]*group{},
+		ids: map[string]*flow{}, logs: map[string]*kind{}, from: conf.Discovery}
 	n.slowFrom = set.Types[0].MessageTarget / 3
 	for _, t := range set.Types {
 		n.slowFrom = min(n.slowFrom, t.MessageTarget/3)
@@ -168,12 +194,14 @@
 	n.alarm.due = n.b.Tick
 	n.say.due = n.tellSlow
 	n.moving.due = n.moveOut
+	n.room.due = n.makeRoom
 	return n
 }
 
 // Begin is the first turn.
 func (n *Node) Begin(now int64, known discovery.List) {
 	n.Turn(now, func() {
+		n.rev = known.Rev
 		n.list(balance.Remembered, known)
 		n.times.set(&n.say, now+sayEvery)
 	})
@@ -208,7 +236,7 @@
 		return
 	}
 	n.Count.Panics++
-	log.Printf("msg=panic text=%q", fmt.Sprint(p))
+	n.note("panic", fmt.Sprint(p))
 	if c == nil {
 		return
 	}
@@ -222,6 +250,22 @@
 // Next is when the next turn is due at the latest; ok is false when only events matter.
 func (n *Node) Next() (at int64, ok bool) { return n.times.next() }
 
+// Follow watches discovery at another address, beside the one watched now until the new one speaks.
+func (n *Node) Follow(discovery string) {
+	n.Count.Reloads++
+	if discovery == n.conf.Discovery {
+		return
+	}
+	n.conf.Discovery, n.unheard = discovery, 0
+	if n.call != nil {
+		n.close(n.call)
+		n.call = nil
+	}
+	if n.watch == nil || n.watch.from != discovery {
+		n.Watch()
+	}
+}
+
 // Stop begins an orderly end: new flows are still taken, and all clients are told to move, spread over the time.
 func (n *Node) Stop() {
 	if n.stopAt == 0 {
@@ -276,13 +320,18 @@
 
 // list takes in a list of hosts.
 func (n *Node) list(kind balance.ListKind, l discovery.List) {
-	n.rev = max(n.rev, l.Rev)
 	n.b.List(kind)
 	for _, e := range l.Entries {
 		h := n.hosts[e.UID]
 		if h == nil {
 			h = &host{uid: e.UID, Server: balance.Server{Name: e.UID, Hash: hash(e.UID)}}
-			h.probeEnd.due = func() { n.probeFailed(h, balance.Overdue) }
+			h.probeEnd.due = func() {
+				if h.unsent {
+					n.probeFailed(h, balance.Saturated) // says nothing of the host
+					return
+				}
+				n.probeFailed(h, balance.Overdue)
+			}
 			n.hosts[e.UID] = h
 			n.fleet = append(n.fleet, h)
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,9 +70,10 @@
 	Passes  bool           // packets pass through in place of ending at the node
 	Names   map[string]int // of the service types
 	Zones   map[string]int
-	Groups  bool  // clients belong to groups that share work
-	Dial    int64 // a connection that is not up by then will not come
-	Longest int64 // connect timeout of any service type
+	Groups  bool    // clients belong to groups that share work
+	Dial    int64   // a connection that is not up by then will not come
+	Longest int64   // connect timeout of any service type
+	Limits  []int64 // connect timeouts of the service types; 0 where none is stated
 }
 
 // Pairs reads the simulator's form, PATH=VALUE a part.
@@ -195,9 +196,11 @@
 			t.Window = c.time(at+"WindowMs", 0)
 		}
 		s.Names[values[at+"Name"]] = i
+		limit := int64(0)
 		if _, ok := values[at+"HardLimitMs"]; ok {
-			s.Longest = max(s.Longest, c.time(at+"HardLimitMs", 0))
+			limit = c.time(at+"HardLimitMs", 0)
 		}
+		s.Longest, s.Limits = max(s.Longest, limit), append(s.Limits, limit)
 		s.Types = append(s.Types, t)
 	}
 	return s, c.err
