An id that came before is wrong also after the end of its flow

A trace joins each ERR of a host with its line: all 37 were ids of requests whose flow this node had moved or ended a moment before, so the table of open ids missed them while the host still held them; each cost up to five hosts an Errored set-up (balance.struck). Ruled out: slow set-ups (none timed out), hosts in trouble (ERR came to those lines only). Now the last 8192 ids are remembered by hash; ids are new with every connection.

--- a/node/flows.go
+++ b/node/flows.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"strings"
 
 	"coursewinch/balance"
 	"coursewinch/lines"
@@ -57,7 +56,7 @@
 
 var (
 	errType  = errors.New("unknown service type")
-	errTaken = errors.New("id of an open flow")
+	errTaken = errors.New("id of another flow")
 	errEarly = errors.New("more than a line before the answer")
 )
 
@@ -73,7 +72,7 @@
 	case !ok:
 		n.bad(c, errType)
 		return
-	case n.ids[o.ID] != nil: // guards the open flow of that id: a host would take this one for it
+	case !n.ids.add(hash(o.ID)): // guards the flow of that id: a host would take this one for it
 		n.bad(c, errTaken)
 		return
 	case c.in.Len() > 0:
@@ -84,7 +83,7 @@
 	if most := n.set.Limits[kind]; most > 0 && o.At == "" {
 		wait = min(wait, most)
 	}
-	f := &flow{open: o, client: c, name: strings.Clone(o.ID)}
+	f := &flow{open: o, client: c}
 	f.Flow = balance.Flow{Type: &n.set.Types[kind], TypeNo: kind, Hash: hash(o.Key), Again: o.Again, Hint: o.Hint,
 		Deadline: n.now + wait - answerSlack, Passed: n.set.Passes, Ref: f}
 	if n.stopAt > 0 {
@@ -103,7 +102,6 @@
 		return
 	}
 	f.id = n.flows.put(f)
-	n.ids[f.name] = f
 	f.join(n, o.Group)
 	if o.At != "" {
 		f.stood = true
@@ -411,9 +409,6 @@
 		}
 		f.group = nil
 	}
-	if n.ids[f.name] == f {
-		delete(n.ids, f.name)
-	}
 	n.flows.drop(f.id)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,7 @@
 	reserve     = 8           // descriptors kept besides those that are owed to hosts
 	settled     = 100 * ms    // a connection that has said nothing for so long may be shed
 	mostGroups  = 4096
+	mostIDs     = 8192
 	mostKinds   = 64 // of log lines
 )
 
@@ -109,7 +110,6 @@
 	balance.Flow
 	id      uint64
 	open    *lines.Open // until it is established
-	name    string      // its id on the wire
 	client  *conn
 	link    *conn // to the host
 	host    *host
@@ -135,8 +135,8 @@
 	conns  slots[conn]
 	flows  slots[flow]
 	hosts  map[string]*host
-	fleet  []*host          // in the order in which they were first named
-	ids    map[string]*flow // by the id that clients gave
+	fleet  []*host // in the order in which they were first named
+	ids    recent  // that clients gave
 	groups map[uint64]*group
 	links  int // connections to hosts for flows
 	times  deadlines
@@ -186,7 +186,7 @@
 	set.Untold = true // no line of the protocol tells how long messages take
 	n := &Node{set: set, conf: conf, net: net, b: balance.New(&set.Settings, conf.Seed),
 		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[uint64]*group{},
-		ids: map[string]*flow{}, logs: map[string]*kind{}, from: conf.Discovery}
+		logs: map[string]*kind{}, from: conf.Discovery}
 	n.slowFrom = set.Types[0].MessageTarget / 3
 	for _, t := range set.Types {
 		n.slowFrom = min(n.slowFrom, t.MessageTarget/3)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -467,17 +467,22 @@
 	}
 }
 
-// Guards an open flow against another that calls itself the same: a host would take one for the other.
-func TestIdsOfOpenFlowsAreTaken(t *testing.T) {
+// Guards a flow against another that calls itself the same, also after its end: a host may not have heard of that.
+func TestIdsComeOnce(t *testing.T) {
 	n, w := ready(1)
 	w.stands()
-	c := w.client("")
-	w.bytes(c, asks)
-	w.want(t, c, "ERR\r\n", "shut")
-	w.turn(1, func() { n.Ended(w.ids[1], nil) })
-	c = w.client("")
-	w.bytes(c, asks)
-	w.want(t, c, "", "")
+	for range 2 {
+		c := w.client("")
+		w.bytes(c, asks)
+		w.want(t, c, "ERR\r\n", "shut")
+		w.turn(1, func() { n.Ended(w.ids[1], nil) })
+	}
+	for i := range uint64(3 * mostIDs) {
+		n.ids.add(i)
+	}
+	if len(n.ids.held) != mostIDs || len(n.ids.ring) != mostIDs || !n.ids.add(hash("1")) {
+		t.Fatal("ids are kept for ever")
+	}
 }
 
 // Guards hosts against what a client says before it may.
@@ -489,7 +494,7 @@
 	h := w.connect()
 	w.bytes(c, "M")
 	w.want(t, c, "ERR\r\n", "shut")
-	if w.ended[h] != "close" || n.flows.held != 0 || n.links != 0 || len(n.ids) != 0 {
+	if w.ended[h] != "close" || n.flows.held != 0 || n.links != 0 {
 		t.Fatal(w.ended[h], n.flows.held, n.links)
 	}
 }
@@ -535,8 +540,8 @@
 		t.Fatal(got)
 	}
 	w.turn(second, func() {})
-	if len(n.logs) != 0 || len(n.groups) != 0 || len(n.ids) != 0 {
-		t.Fatal(n.logs, n.groups, n.ids)
+	if len(n.logs) != 0 || len(n.groups) != 0 {
+		t.Fatal(n.logs, n.groups)
 	}
 }
 
--- a/node/tables.go
+++ b/node/tables.go
@@ -45,6 +45,32 @@
 	}
 }
 
+// recent holds the hashes of the last ids that clients gave. Each is new with every connection, so one that comes again
+// is wrong, also after the end of its flow: its client may have been moved and its host not have heard of that yet.
+type recent struct {
+	held map[uint64]bool
+	ring []uint64
+	next int
+}
+
+// add tells whether an id is new.
+func (r *recent) add(id uint64) bool {
+	if r.held[id] {
+		return false
+	}
+	if r.held == nil {
+		r.held = map[uint64]bool{}
+	}
+	if r.held[id] = true; len(r.ring) < mostIDs {
+		r.ring = append(r.ring, id)
+		return true
+	}
+	delete(r.held, r.ring[r.next])
+	r.ring[r.next] = id
+	r.next = (r.next + 1) % mostIDs
+	return true
+}
+
 // deadline is one moment at which something is done unless it is called off. It is set and called off through the
 // one structure that holds them all.
 type deadline struct {
