Stopping nodes move clients evenly; cold servers count for what they can do; light flows stay

A trace of moves and placements shows: a stopping node moved its clients from the first 50 ms on and by a rounded-up share, so they came back to it or found no node at all (n1 done at +1.8 s, n0 back at +1.3 to 1.4 s after n1's SIGTERM); servers of a release held a full share at an eighth of their capacity; even() moved flows of 3 ms a second off servers that held 1400 ms over a cap of 700, since one heavy flow there could not go. Ruled out: the watch (each new address answered within 1 ms), refused or failed set-ups (none), CPU (0.02 s in the worst second). Changed: node.moveOut begins half a second after SIGTERM and moves one flow each left/open; balance.warm scales a server's size in cap, mean and least; even() moves none lighter than the usual flow there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -108,11 +108,8 @@
 		if !b.usable(s, f) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
 			continue
 		}
-		if b.passOver(s) {
-			continue
-		}
 		like, factor := f.liking(s), capFactor
-		if like < near && tight {
+		if like < near && tight || b.passOver(s) {
 			continue
 		}
 		if f.Group != nil && like >= near && like < 1 && b.step > 1 {
@@ -124,10 +121,10 @@
 		if like > 1 {
 			factor = capGroup
 		}
-		if over := (s.load + f.load) / s.Size; least == nil || over < leastAt {
+		if over := (s.load + f.load) / (s.Size * b.warm(s)); least == nil || over < leastAt {
 			least, leastAt = s, over // for its size the least loaded: taken when all are over the cap
 		}
-		if s.load+f.load > factor*mean*s.Size+capFloor*f.load {
+		if s.load+f.load > factor*mean*s.Size*b.warm(s)+capFloor*f.load {
 			continue
 		}
 		switch {
@@ -246,9 +243,8 @@
 
 // passOver decides by chance whether a fresh server is left out this time, less often as it warms.
 func (b *Balancer) passOver(s *Server) bool {
-	warm := 1.0
-	if end := s.Started + b.set.ColdTime; s.Started > 0 && b.now < end {
-		warm = 1 - (1-b.set.ColdFrom)*float64(end-b.now)/float64(b.set.ColdTime)
+	warm := b.warm(s)
+	if warm < 1 {
 		// Guards against all nodes together pushing over a cold server, over any window and from its first
 		// instant: it gets what this node usually connects to one server, times the share it can bear.
 		rate := b.fresh.PerSecond(b.now) / float64(len(b.servers)) * warm * budgetShare * b.set.FallMultiple
@@ -266,6 +262,14 @@
 	return warm < 1 && b.rng.Float64() >= warm
 }
 
+// warm is the share of its size that a server can bear by now. Guards cold ones against a full share of load.
+func (b *Balancer) warm(s *Server) float64 {
+	if end := s.Started + b.set.ColdTime; s.Started > 0 && b.now < end {
+		return 1 - (1-b.set.ColdFrom)*float64(end-b.now)/float64(b.set.ColdTime)
+	}
+	return 1
+}
+
 // usual is the load to count for a flow until the node is told: the hint, or the mean of its service type.
 func (b *Balancer) usual(f *Flow) float64 {
 	if load, ok := b.known[f.Hash]; ok {
@@ -282,7 +286,7 @@
 	for _, s := range b.order {
 		if s.State == Up && !s.skipped && (s.share || s.load > 0) {
 			load += s.load
-			size += s.Size
+			size += s.Size * b.warm(s)
 		}
 	}
 	return max(load, 1) / max(size, 0.001)
@@ -377,8 +381,7 @@
 
 func (b *Balancer) Established(f *Flow, took int64) {
 	s := f.server
-	f.open = true
-	s.failures, s.triedAt = 0, b.now
+	f.open, s.failures, s.triedAt = true, 0, b.now
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
 	if b.every.Add(took, keepAll); b.set.Untold && b.every.Total() >= 4 {
@@ -387,11 +390,8 @@
 	if !f.Again {
 		b.fresh.Add(b.now) // guards cold servers from a rate that a crowd of returning clients drives up
 	}
-	if b.pace > 0 {
-		b.pace *= 1.02
-		if b.now-b.cutAt > 2*second {
-			b.pace = 0
-		}
+	if b.pace *= 1.02; b.now-b.cutAt > 2*second {
+		b.pace = 0
 	}
 }
 
@@ -506,8 +506,8 @@
 	}
 }
 
-// even moves the heaviest flow whose server, without it, holds over this, again only if far over. Guards
-// flows on a server that drowns where nobody tells how long messages take: own load is all that shows it.
+// even moves the heaviest flow whose server, without it, holds over this, again only if far over, and none
+// lighter than usual. Guards flows on a server that drowns where nobody tells: own load is all that shows it.
 func (b *Balancer) even(s *Server, most float64) {
 	var top *Flow
 	for _, f := range s.flows {
@@ -516,7 +516,7 @@
 			top = f
 		}
 	}
-	if top != nil {
+	if top != nil && (most < 0 || top.load*float64(len(s.flows)) >= s.load) {
 		top.moved = true
 		b.out.Move(top)
 	}
@@ -637,7 +637,7 @@
 		if b.set.Untold && s.State == Draining {
 			b.even(s, -1) // guards clients against being cut off when their server leaves
 		} else if b.set.Untold {
-			b.even(s, capFactor*mean*s.Size)
+			b.even(s, capFactor*mean*s.Size*b.warm(s))
 		}
 		if !b.set.Probing || s.State != Up || !s.share && !s.skipped {
 			continue
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -563,6 +563,35 @@
 	}
 }
 
+// Guards clients against moves that relieve nobody: beside a flow that can't go, the light ones weigh nothing.
+func TestLightFlowsStay(t *testing.T) {
+	b, w := start(3, Repeatable, ScopeAll)
+	b.set.Untold = true
+	b.fill(b.servers[0], 1, 500_000)
+	b.fill(b.servers[0], 9, 3_000)
+	b.fill(b.servers[1], 2, 30_000)
+	b.due()
+	w.want(t)
+}
+
+// Guards cold servers against a full share of load: they count for what they can do by now.
+func TestColdServersHoldLess(t *testing.T) {
+	b, w := start(2, Repeatable, ScopeAll)
+	b.set.Untold = true
+	for _, s := range b.servers {
+		b.fill(s, 5, 30_000)
+	}
+	b.due()
+	w.want(t)
+	s := b.servers[1]
+	s.Started, b.void = b.now-5*second, true
+	if warm := b.warm(s); warm < 0.39 || warm > 0.41 {
+		t.Fatal(warm)
+	}
+	b.due()
+	w.want(t, "move")
+}
+
 // Guards clients against being cut off when their server leaves.
 func TestFlowsMoveOffADrainingServer(t *testing.T) {
 	b, w := start(2, Repeatable, ScopeAll)
--- a/node/node.go
+++ b/node/node.go
@@ -272,7 +272,7 @@
 		log.Printf("msg=stopping flows=%d", n.flows.held)
 		n.stopAt = n.now
 		n.stopEnd = n.now + min(max(n.set.Longest, second), 3*second) + second/2
-		n.times.set(&n.moving, n.now+moveStep)
+		n.times.set(&n.moving, n.now+moveFrom)
 	}
 }
 
@@ -292,22 +292,23 @@
 }
 
 const (
-	moveStep  = 50 * ms
-	stopLeast = second // new connections may go on coming
+	moveStep  = 10 * ms
+	moveFrom  = second / 2 // until then new connections may go on coming, and those moved would come back here
+	stopLeast = second
 	moveSpare = second / 2
 )
 
-// moveOut moves the share of the open flows that this step is due. Guards against flows cut off at the kill, and
-// against a crowd that all comes again at once.
+// moveOut moves the share of the open flows that this step is due, evenly up to the end. Guards against flows cut off
+// at the kill, against a crowd that all comes again at once, and against clients that wait for a node to come back.
 func (n *Node) moveOut() {
-	open := 0
+	open := int64(0)
 	for _, s := range n.flows.all {
 		if s.v != nil && s.v.stage == Established {
 			open++
 		}
 	}
-	steps := max((n.stopEnd-moveSpare-n.now)/moveStep, 1)
-	due := (int64(open) + steps - 1) / steps
+	left := max(n.stopEnd-moveSpare-n.now, moveStep)
+	due := (open*moveStep + left - 1) / left
 	for _, s := range n.flows.all {
 		if f := s.v; f != nil && f.stage == Established && due > 0 {
 			due--
@@ -315,7 +316,7 @@
 			n.end(f, balance.Recalled)
 		}
 	}
-	n.times.set(&n.moving, n.now+moveStep)
+	n.times.set(&n.moving, n.now+max(left/max(open, 1), moveStep))
 }
 
 // list takes in a list of hosts.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -569,15 +569,23 @@
 	w.bytes(a, "M\r\n")
 }
 
+// Guards clients against waiting for a node to come back, and that node against all of them at once.
 func TestOrderlyEndSpreadsMoves(t *testing.T) {
 	n, w := ready(1)
 	for range 20 {
 		w.stands()
 	}
 	n.Stop()
-	w.turn(500*ms, func() {})
-	if n.Count.Moves == 0 || n.Count.Moves > 10 {
-		t.Fatal(n.Count.Moves, "moved at first")
+	w.turn(moveFrom-1, func() {})
+	if n.Count.Moves != 0 {
+		t.Fatal(n.Count.Moves, "moved while they would come back here")
+	}
+	half := (n.stopEnd - moveSpare - n.now) / 2
+	for from := n.now; n.now < from+half; {
+		w.turn(moveStep, func() {})
+	}
+	if n.Count.Moves < 8 || n.Count.Moves > 12 {
+		t.Fatal(n.Count.Moves, "moved by half of the time")
 	}
 	for !n.Done() && n.now < n.stopEnd {
 		w.turn(moveStep, func() {})
