Holders of a group have the usual cap where nobody tells of slow messages

A trace of own flows a host shows one sound host of five with none or two flows for 20 s beside two of 20 flows, and moves off hosts that were being filled: place() lets a holder take 2.5 times the mean (capGroup) while even() moves what is over 1.25 times it. The slow notes that end this on the wire do not come on sockets. Ruled out: echo times (100 us on all hosts), probes, skips, STATS (it is answered PONG and no report, as the settings say).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,7 +118,7 @@
 				like += (1 - near) / 2
 			}
 		}
-		if like > 1 {
+		if like > 1 && !b.set.Untold { // or nothing would end it
 			factor = capGroup
 		}
 		if over := (s.load + f.load) / (s.Size * b.warm(s)); least == nil || over < leastAt {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -563,6 +563,22 @@
 	}
 }
 
+// Guards a server that holds a group from being fed to twice the mean and more: no slow message would end it.
+func TestHoldersHaveTheUsualCapWhereNobodyTells(t *testing.T) {
+	for _, untold := range []bool{false, true} {
+		b, w := start(2, Repeatable, ScopeAll)
+		b.set.Untold = untold
+		f := b.grouped()
+		b.fill(f.server, 6, firstLoad)
+		b.fill(b.servers[1-slices.Index(b.servers, f.server)], 3, firstLoad)
+		g := b.flow()
+		g.Group = f.Group
+		if b.place(g); (g.server == f.server) == untold {
+			t.Fatal(untold, w.words)
+		}
+	}
+}
+
 // Guards clients against moves that relieve nobody: beside a flow that can't go, the light ones weigh nothing.
 func TestLightFlowsStay(t *testing.T) {
 	b, w := start(3, Repeatable, ScopeAll)
