--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,9 @@
 package balance
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func TestOneAnswerWhenNothingIsLeft(t *testing.T) {
 	b, w := start(1, Repeatable, ScopeAll)
