Where nobody tells, a group goes to its least loaded holder, up to 1.5 times the mean

Cause: on sockets nobody tells of slow messages, so what the cap lets a server hold is all that keeps it from drowning.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,8 @@
 	marginShare = 0.25      // by this share of the leader's latency
 	capFactor   = 1.25      // a server may hold this times the mean load for its size
 	capGroup    = 2.5       // and this times for a flow whose group it holds
-	capAgain    = 1.6       // times the cap, placed flows move that came again, where nobody tells
+	capUntold   = 1.5       // or this, and placed flows move from it, where nobody tells of slow messages
+	capAgain    = 1.6       // times that, placed flows move that came again
 	capFloor    = 1.0       // and this many usual flows besides
 	probeEvery  = 5_000_000 // at most; four fifths of it at least
 	probeSoon   = 700_000   // for skipped servers
@@ -118,7 +119,9 @@
 				like += (1 - near) / 2
 			}
 		}
-		if like > 1 && !b.set.Untold { // or nothing would end it
+		if like > 1 && b.set.Untold { // no slow message would end more; the least loaded of them
+			like, factor = 2-min(s.load/(4*mean*s.Size*b.warm(s)), 1), capUntold
+		} else if like > 1 {
 			factor = capGroup
 		}
 		if over := (s.load + f.load) / (s.Size * b.warm(s)); least == nil || over < leastAt {
@@ -285,8 +288,7 @@
 	load, size := 0.0, 0.0
 	for _, s := range b.order {
 		if s.State == Up && !s.skipped && (s.share || s.load > 0) {
-			load += s.load
-			size += s.Size * b.warm(s)
+			load, size = load+s.load, size+s.Size*b.warm(s)
 		}
 	}
 	return max(load, 1) / max(size, 0.001)
@@ -353,8 +355,7 @@
 // timeout leaves room for a second connect before the setup target, unless set-ups are slow everywhere: then
 // the cause is shared, and giving up early would only ask for the same work again.
 func (b *Balancer) timeout(f *Flow) int64 {
-	left := f.Deadline - b.now
-	h := &b.setups[f.TypeNo]
+	left, h := f.Deadline-b.now, &b.setups[f.TypeNo]
 	t := max(16*h.Quantile(0.9), f.Type.SetupTarget)
 	last := f.Tries >= b.set.MaxConnects || f.Type.Effect == OnceOnly // no further connect would follow
 	if last || h.Total() < 8 || t > left*2/3 {
@@ -637,7 +638,7 @@
 		if b.set.Untold && s.State == Draining {
 			b.even(s, -1) // guards clients against being cut off when their server leaves
 		} else if b.set.Untold {
-			b.even(s, capFactor*mean*s.Size*b.warm(s))
+			b.even(s, capUntold*mean*s.Size*b.warm(s))
 		}
 		if !b.set.Probing || s.State != Up || !s.share && !s.skipped {
 			continue
