--- a/node/node.go
+++ b/node/node.go
@@ -272,7 +272,7 @@
 		log.Printf("msg=stopping flows=%d", n.flows.held)
 		n.stopAt = n.now
 		n.stopEnd = n.now + min(max(n.set.Longest, second), 3*second) + second/2
-		n.times.set(&n.moving, n.now+moveFrom)
+		n.times.set(&n.moving, n.now+(n.stopEnd-moveSpare-n.now)/firstPart)
 	}
 }
 
@@ -293,13 +293,14 @@
 
 const (
 	moveStep  = 10 * ms
-	moveFrom  = second / 2 // until then new connections may go on coming, and those moved would come back here
-	stopLeast = second
-	moveSpare = second / 2
+	stopLeast = second   // new connections may go on coming
+	moveSpare = 300 * ms // for the last moves to reach their clients
+	firstPart = 2        // one of so many parts of the time passes before the first move
 )
 
 // moveOut moves the share of the open flows that this step is due, evenly up to the end. Guards against flows cut off
-// at the kill, against a crowd that all comes again at once, and against clients that wait for a node to come back.
+// at the kill, against a crowd that all comes again at once, and, by beginning late, against clients that come back
+// here or wait for a node that was stopped before and is not back yet.
 func (n *Node) moveOut() {
 	open := int64(0)
 	for _, s := range n.flows.all {
