What the path breaks neither paces set-ups nor puts a server aside

Single resets of set-ups began the pacing, to 0.35 connects a second on a node just restarted; single resets of open flows put servers aside until none was left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -252,8 +252,7 @@
 		// instant: it gets what this node usually connects to one server, times the share it can bear.
 		rate := b.fresh.PerSecond(b.now) / float64(len(b.servers)) * warm * budgetShare * b.set.FallMultiple
 		s.budget = min(s.budget+rate*float64(b.now-s.budgetAt)/second, 1.5)
-		s.budgetAt = b.now
-		if s.budget < 1 {
+		if s.budgetAt = b.now; s.budget < 1 {
 			return true
 		}
 	} else {
@@ -301,8 +300,7 @@
 	}
 	b.void = false
 	sum, n := int64(0), int64(0)
-	// In a large fleet a node uses every n-th server of the sorted list from a start of its own, so that it
-	// has flows enough to judge each by, and a server is not probed by all nodes.
+	// In a large fleet a node uses every n-th server, so that it has flows enough to judge each by.
 	b.step = max(1, min(len(b.servers), b.set.Nodes)/shareLeast)
 	part := float64(b.set.Index) * 0.618034 // its fraction is even over nodes, and over every n-th of them
 	b.order = append(b.order[:0], b.servers...)
@@ -374,7 +372,6 @@
 	b.out.Reject(f, b.set.MaxWait/2)
 }
 
-// Opened takes over a connection that stood before.
 func (b *Balancer) Opened(f *Flow, s *Server) {
 	f.server, f.open, f.Tries, f.load = s, true, 1, b.usual(f)
 	s.add(f)
@@ -409,9 +406,12 @@
 	stood := f.open
 	f.open = false
 	if stood && end == Severed && s.State == Up {
-		s.asideTo = b.now + slowHold // guards a server that drops what it can't serve: a lone flow leaves no limit
+		if len(s.flows) == 0 || b.now-s.brokeAt < second { // one of many may be the path's fault
+			s.asideTo = b.now + slowHold // guards a server that drops what it can't serve: a lone flow leaves no limit
+		}
+		s.brokeAt = b.now
 		if b.step > 1 {
-			b.struck(s, end) // where a node loses a flow or two, it has no limit to go by
+			b.struck(s, true) // where a node loses a flow or two, it has no limit to go by
 		}
 	}
 	if over {
@@ -439,7 +439,8 @@
 		b.measure(s, took)
 	}
 	s.failures++
-	failing, tried := b.struck(s, end)
+	piled := end != Unreachable && (end != Severed || took > f.Type.SetupTarget/8) // or the path broke it
+	failing, tried := b.struck(s, piled)
 	if !s.skipped && s.failures >= failStreak && (failing < 2 || 2*failing <= tried || end == Unreachable) {
 		b.skip(s, "set-ups fail")
 	}
@@ -447,7 +448,7 @@
 
 // struck counts the servers that failed last, of those tried of late, not of all: with few flows a node tries
 // few, whatever befalls them all. Many, and some in the own zone: a shared cause, and not a zone cut off.
-func (b *Balancer) struck(s *Server, end Outcome) (failing, tried int) {
+func (b *Balancer) struck(s *Server, piled bool) (failing, tried int) {
 	s.failedAt, s.triedAt = b.now, b.now
 	for _, o := range b.servers {
 		if b.now-o.triedAt < 3*second {
@@ -457,7 +458,7 @@
 			}
 		}
 	}
-	if end != Unreachable && s.Zone == b.set.Zone && failing > 1 && 3*failing > tried {
+	if piled && s.Zone == b.set.Zone && failing > 1 && 3*failing > tried {
 		b.strained()
 	}
 	return failing, tried
@@ -564,7 +565,6 @@
 	}
 }
 
-// List begins a report of the server list; Entry follows for each, then ListEnd.
 func (b *Balancer) List(kind ListKind) {
 	if kind == Refused {
 		b.watching, b.asking = false, false
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -531,6 +531,38 @@
 	}
 }
 
+// Guards servers against being left out for what the path did: it breaks one flow of many, a server that drowns several.
+func TestOneBreakOfManyLeavesNobodyOut(t *testing.T) {
+	b, _ := start(3, Repeatable, ScopeAll)
+	s := b.servers[0]
+	b.fill(s, 4, firstLoad)
+	if b.Ended(s.flows[0], s, Severed, second, true); !b.usable(s, b.flow()) {
+		t.Fatal("left out for one break")
+	}
+	b.now += second / 2
+	if b.Ended(s.flows[0], s, Severed, second, true); b.usable(s, b.flow()) {
+		t.Fatal("a second break within a second is no chance")
+	}
+}
+
+// Guards clients that come again after a restart: set-ups that break at once say nothing of work piled up, and paced
+// to the rate of a node that has none yet, all of them would be turned away.
+func TestSetUpsThatThePathBreaksArePacedNever(t *testing.T) {
+	for _, took := range []int64{1_000, 100_000} {
+		b, _ := start(4, Repeatable, ScopeAll)
+		for _, s := range b.servers[:3] {
+			s.Zone = 0
+			f := b.flow()
+			f.server, f.Tries = s, 1
+			s.add(f)
+			b.Ended(f, s, Severed, took, false)
+		}
+		if (b.pace > 0) != (took == 100_000) {
+			t.Fatal(took, b.pace)
+		}
+	}
+}
+
 // Guards flows on a server that drowns where nobody tells: what the cap would not place there moves, and comes to rest.
 func TestFlowsOverTheCapMoveWhereNobodyTells(t *testing.T) {
 	b, w := start(3, Repeatable, ScopeAll)
--- a/balance/types.go
+++ b/balance/types.go
@@ -173,12 +173,13 @@
 	slow     int64
 	movedAt  int64
 	asideTo  int64
+	brokeAt  int64 // when it broke an open flow last
 	probeAt  int64
 	fastest  int64 // probe of late
 	probeOut bool
 }
 
-// ListKind says what a list report is.
+// ListKind says what a list report is: List begins one, Entry follows for each server, then ListEnd.
 type ListKind uint8
 
 const (
