All flows leave a skipped server at its next failed probe

Seen on wide+reset: two of five servers answer probes 3 to 9 ms late from second 9.5 on and refuse connects at 15.7; the list tells at 19.2. A trace of probes, moves and own flows a host: skipped at once, but shift() moved half of the own load at each further failed probe, heaviest first, so that 10, 7, 5, 3 light flows stayed on them for seven seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,6 @@
 	limitCut    = 0.8
 	limitGain   = 0.03   // of itself a second, of the mean share at least
 	limitFloor  = 0.5    // of the mean share for its size
-	silentShare = 0.5    // of own load, moved at each further failed probe
 	moveShare   = 0.12   // of a slow server's own load a second
 	spread      = 4.0    // servers by hash that a group keeps to, besides its share of the flows
 	tightShare  = 0.6    // of these while many servers are unwell
@@ -559,7 +558,7 @@
 	}
 	s.streak = 0
 	if s.skipped {
-		b.shift(s, silentShare*s.load) // guards flows held by a server that went silent: no reset tells them
+		b.shift(s, noLimit) // guards flows held by a server that went silent or drowns: no reset tells them
 	} else if s.State == Up && end != Saturated {
 		b.skip(s, "probe failed")
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -408,8 +408,8 @@
 	b.Probed(s, Overdue, second)
 	w.want(t)
 	b.Probed(s, Overdue, second)
-	if n := w.count("move"); n != 5 {
-		t.Fatalf("%d of 10 moved after the second failed probe", n)
+	if n := w.count("move"); n != 10 {
+		t.Fatalf("%d of 10 moved at the second failed probe", n)
 	}
 }
 
