Clients that give no time or name senseless loads teach the module nothing

Read in the code: a time-out shorter than the setup target, as a client with a small d gets, counted against the server (three skip it) and went into the set-up times; a hint of up to a thousand cores counted in full until a load was told; a connection with MOVE still unsent could be shed. balance.Ended and usual, node.shed; each with a test.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,7 +41,8 @@
 	wellShare   = 0.75   // of the servers, over which groups may go anywhere
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
 	mostKnown   = 4096
-	paceStart   = 0.5 // connects a second, besides three times the usual rate
+	mostHint    = 100.0 // times the mean of its service type
+	paceStart   = 0.5   // connects a second, besides three times the usual rate
 	paceLeast   = 0.1
 	shareLeast  = 5 // servers in a node's share, and nodes that share a server
 	never       = int64(1) << 62
@@ -276,7 +277,7 @@
 	if load, ok := b.known[f.Hash]; ok {
 		return load
 	} else if f.Hint > 0 {
-		return f.Hint
+		return min(f.Hint, mostHint*b.loads[f.TypeNo].Value()) // guards counts against a hint without sense
 	}
 	return b.loads[f.TypeNo].Value()
 }
@@ -419,7 +420,8 @@
 	if !end.neverRan() && f.maybe == nil {
 		f.maybe, f.maybeAt = s, f.sent
 	}
-	if end == Unreachable || end == Overdue || end == Severed || end == Errored { // a full server is not sick
+	late := end == Overdue && took >= f.Type.SetupTarget                // or its client gave it too little time
+	if end == Unreachable || late || end == Severed || end == Errored { // a full server is not sick
 		b.failed(s, f, end, took)
 	}
 	if f.Deadline-b.now < 2_000 || end == Superseded {
@@ -489,8 +491,7 @@
 	}
 }
 
-// Slow tells how long messages take at a server now. Its limit goes under what it holds, and part of this
-// node's load there is asked to come again. Guards against a server that drowns under flows already placed.
+// Slow tells how long messages take at a server. Guards against one that drowns under flows already placed.
 func (b *Balancer) Slow(s *Server, us int64) {
 	if us <= b.tightest/3 {
 		s.slow = 0
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -531,6 +531,26 @@
 	}
 }
 
+// Guards servers' standing and the counts against clients that give no time to answer or name loads that none can be.
+func TestBadClientsTeachNothing(t *testing.T) {
+	b, _ := start(2, Repeatable, ScopeAll)
+	s := b.servers[0]
+	for range failStreak {
+		f := b.flow()
+		f.Tries, f.server = 1, s
+		s.add(f)
+		b.Ended(f, s, Overdue, 20_000, false)
+	}
+	if s.skipped || s.failures > 0 || b.setups[0].Total() > 0 {
+		t.Fatal(s.skipped, s.failures)
+	}
+	f := b.flow()
+	f.Hint = 1e12
+	if got := b.usual(f); got != mostHint*firstLoad {
+		t.Fatal(got)
+	}
+}
+
 // Guards servers against being left out for what the path did: it breaks one flow of many, a server that drowns several.
 func TestOneBreakOfManyLeavesNobodyOut(t *testing.T) {
 	b, _ := start(3, Repeatable, ScopeAll)
--- a/node/conns.go
+++ b/node/conns.go
@@ -59,7 +59,7 @@
 func (n *Node) shed() bool {
 	for _, q := range []*list.List{&n.going, &n.mute} {
 		if q.Len() > 0 {
-			if c := q.Front().Value.(*conn); n.now-c.since >= settled {
+			if c := q.Front().Value.(*conn); n.now-c.since >= settled && (c.role == fresh || c.out.Len() == 0) {
 				n.Count.Shed++
 				if c.role == fresh {
 					c.out.Put([]byte("BUSY\r\n"))
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -448,6 +448,22 @@
 	}
 }
 
+// Guards a client that reads slowly: its last line is not cut off for want of a descriptor.
+func TestLastLinesOnTheirWayAreNotShed(t *testing.T) {
+	n, w := ready(1)
+	c, _ := w.stands()
+	w.up[c] = false // reads nothing
+	w.turn(1, func() { n.Move(&n.conns.get(c).flow.Flow) })
+	w.turn(settled, func() {})
+	w.turn(1, func() {
+		for n.shed() {
+		}
+	})
+	if w.ended[c] != "shut" {
+		t.Fatal(w.ended[c], "with MOVE unsent")
+	}
+}
+
 // Guards hosts' standing against a node that is short itself: what was never sent says nothing of them.
 func TestWithoutDescriptorsNothingIsLearned(t *testing.T) {
 	n, w := ready(2)
