--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Where a config file is not given, `make run` says what is missing.
 GW_CONFIG ?= config.json
 
-.PHONY: build test lint run
+.PHONY: build test lint run rehearse
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
@@ -13,3 +13,6 @@
 
 run: build
 	GW_CONFIG=$(GW_CONFIG) bin/coursewinch
+
+rehearse: build
+	bin/rehearse play calm-evening
--- /dev/null
+++ b/cmd/rehearse/play.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"coursewinch/record"
+	"coursewinch/report"
+	"coursewinch/rules"
+	"coursewinch/scenario"
+	"coursewinch/virtual"
+)
+
+// outputs are where a run's results go.
+type outputs struct {
+	json    bool
+	answers string
+	logs    string
+}
+
+func (o *outputs) flags(c *cobra.Command) {
+	c.Flags().BoolVar(&o.json, "json", false, "print figures as JSON")
+	c.Flags().StringVar(&o.answers, "answers", "", "write the final answers, a line a flow, to this `file`")
+	c.Flags().StringVar(&o.logs, "logs", "", "write the nodes' log lines to this `file`")
+}
+
+// give writes a run's results and says with its error what came of it.
+func (o *outputs) give(r *record.Run) error {
+	broken := rules.Check(r)
+	if o.answers != "" {
+		f, err := os.Create(o.answers)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := r.Answers(f); err != nil {
+			return err
+		}
+	}
+	if o.json {
+		if err := report.JSON(os.Stdout, report.Of(r, broken)); err != nil {
+			return err
+		}
+	} else {
+		report.Text(os.Stdout, r, broken)
+	}
+	switch {
+	case r.Void != "":
+		return &exit{exitVoid, ""}
+	case len(broken) > 0:
+		return &exit{exitBroken, ""}
+	}
+	return nil
+}
+
+func playCommand() *cobra.Command {
+	var seed uint64
+	var out outputs
+	c := &cobra.Command{
+		Use:   "play SCRIPT",
+		Short: "Play a script in virtual time: the same script and seed give the same answers on every machine",
+		Example: "  rehearse play calm-evening\n  rehearse play my-script.toml --seed 7 --answers answers.txt\n" +
+			"  rehearse play zone-cut --json",
+		Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := scenario.Load(args[0])
+			if err != nil {
+				return err
+			}
+			done, err := logsTo(out.logs)
+			if err != nil {
+				return err
+			}
+			defer done()
+			start := time.Now()
+			r, err := virtual.Play(s, virtual.Options{Seed: seed})
+			if err != nil {
+				return err
+			}
+			took := time.Since(start)
+			err = out.give(r)
+			if !out.json {
+				fmt.Printf("  played in %.2f s, %.0f events a second; answers %s\n", took.Seconds(),
+					float64(r.Counts.Events)/took.Seconds(), report.Hash(r)[:16])
+			}
+			return err
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the script's own")
+	out.flags(c)
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check SCRIPT...",
+		Short:   "Read scripts and tell every fault with its line",
+		Example: "  rehearse check my-script.toml",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			bad := 0
+			for _, name := range args {
+				if _, err := scenario.Load(name); err != nil {
+					fmt.Fprintln(os.Stderr, err)
+					bad++
+					continue
+				}
+				fmt.Printf("%s: sound\n", name)
+			}
+			if bad > 0 {
+				return &exit{exitUsage, ""}
+			}
+			return nil
+		},
+	}
+}
+
+func scriptsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "scripts",
+		Short: "List the scripts that come with the program",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			for _, name := range scenario.Shipped() {
+				s, err := scenario.Load(name)
+				if err != nil {
+					return err
+				}
+				fmt.Printf("%-24s %s\n", name, s.About)
+			}
+			return nil
+		},
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,32 @@
 type Config struct {
 	Discovery string
 	Seed      int64
+	Decide    func(*settings.Settings, int64) Decider // nil: the decision module
+}
+
+// Decider takes what comes in and writes its decisions to the writer given to Round, as package balance does. Another
+// than the module serves comparison in rehearsals and nothing else.
+type Decider interface {
+	Round(now int64, in func(), out balance.Writer)
+	List(balance.ListKind)
+	Entry(s *balance.Server, state balance.State, size float64, started int64)
+	ListEnd(balance.ListKind)
+	Demand(*balance.Flow)
+	Opened(*balance.Flow, *balance.Server)
+	Established(f *balance.Flow, took int64)
+	Ended(f *balance.Flow, s *balance.Server, end balance.Outcome, took int64, over bool)
+	Expired(*balance.Flow)
+	Load(f *balance.Flow, perSecond float64)
+	Slow(s *balance.Server, us int64)
+	Probed(s *balance.Server, end balance.Outcome, took int64)
+	Tick()
+}
+
+// module is the decision module.
+type module struct{ *balance.Balancer }
+
+func (m module) Round(now int64, in func(), out balance.Writer) {
+	m.Balancer.Round(now, func(*balance.Balancer) { in() }, out)
 }
 
 // host is one server and what is connected to it besides flows.
@@ -129,7 +155,7 @@
 	set    *settings.Settings
 	conf   Config
 	net    Net
-	b      *balance.Balancer
+	b      Decider
 	rng    *rand.Rand
 	now    int64
 	conns  slots[conn]
@@ -184,9 +210,12 @@
 		set.OnRequest, set.AskWithin = true, askWithin
 	}
 	set.Untold = true // no line of the protocol tells how long messages take
-	n := &Node{set: set, conf: conf, net: net, b: balance.New(&set.Settings, conf.Seed),
+	n := &Node{set: set, conf: conf, net: net, b: module{balance.New(&set.Settings, conf.Seed)},
 		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[uint64]*group{},
 		logs: map[string]*kind{}, from: conf.Discovery}
+	if conf.Decide != nil {
+		n.b = conf.Decide(set, conf.Seed)
+	}
 	n.slowFrom = set.Types[0].MessageTarget / 3
 	for _, t := range set.Types {
 		n.slowFrom = min(n.slowFrom, t.MessageTarget/3)
@@ -213,7 +242,7 @@
 	n.now = now
 	defer n.guard(nil)
 	n.due = n.times.take(now, n.due[:0])
-	n.b.Round(now, func(*balance.Balancer) {
+	n.b.Round(now, func() {
 		in()
 		for _, d := range n.due {
 			if d.pos == taken { // neither called off nor set anew meanwhile
--- /dev/null
+++ b/report/text.go
@@ -0,0 +1,153 @@
+// Package report writes what a rehearsal came to, as text, JSON or a page.
+package report
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"coursewinch/record"
+	"coursewinch/rules"
+)
+
+// Sum is a run's figures under the names that programs read.
+type Sum struct {
+	Script    string             `json:"script"`
+	Seed      uint64             `json:"seed"`
+	Service   float64            `json:"service"`
+	Worst10   float64            `json:"worst_10s"`
+	WorstType float64            `json:"worst_type"`
+	ByType    map[string]float64 `json:"service_by_type"`
+	Flows     int                `json:"flows"`
+	Answers   map[string]int     `json:"answers"`
+	Connects  float64            `json:"connects_per_flow"`
+	Probes    float64            `json:"probes_per_flow"`
+	Crossings float64            `json:"crossings_per_flow"`
+	Moves     float64            `json:"moves_per_flow"`
+	Breaks    int                `json:"breaks"`
+	Setup     map[string]Setup   `json:"setup"`
+	Breaches  map[string]int     `json:"breaches"`
+	Hash      string             `json:"answers_sha256"`
+	Events    uint64             `json:"events"`
+	Void      string             `json:"void,omitempty"`
+}
+
+// Setup is how long the set-ups of a service type took, in milliseconds, beside its target.
+type Setup struct {
+	P50    float64 `json:"p50_ms"`
+	P99    float64 `json:"p99_ms"`
+	Target float64 `json:"target_ms"`
+	Late   float64 `json:"late_share"`
+}
+
+// Of sums a run up.
+func Of(r *record.Run, broken []rules.Breach) Sum {
+	f := r.Sum()
+	s := Sum{Script: r.Script, Seed: r.Seed, Service: f.Service, Worst10: f.Worst10, WorstType: f.WorstType,
+		ByType: map[string]float64{}, Flows: len(r.Flows), Answers: f.Answers, Connects: f.PerFlow, Probes: f.ProbesFlow,
+		Crossings: f.Crossings, Moves: f.Moves, Breaks: r.Counts.Breaks, Setup: map[string]Setup{},
+		Breaches: map[string]int{}, Hash: Hash(r), Events: r.Counts.Events, Void: r.Void}
+	for i, t := range r.Types {
+		s.ByType[t.Name] = f.ByType[i]
+		s.Setup[t.Name] = Setup{float64(record.Quantile(f.Setups[i], 0.5)) / 1000,
+			float64(record.Quantile(f.Setups[i], 0.99)) / 1000, float64(t.Target) / 1000, f.LateShare[i]}
+	}
+	for _, b := range broken {
+		s.Breaches[string(b.Rule)]++
+	}
+	return s
+}
+
+// Hash is that of the final answers.
+func Hash(r *record.Run) string {
+	h := sha256.New()
+	r.Answers(h)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// JSON writes the sum for programs.
+func JSON(w io.Writer, s any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(s)
+}
+
+// answerWords are the answers in the order in which they are told.
+var answerWords = []string{"established", "rejected", "aborted", "unreached", "killed", "left", "cut", "none"}
+
+// Text writes a run for people: who was served where, how well, and what was broken.
+func Text(w io.Writer, r *record.Run, broken []rules.Breach) {
+	s := Of(r, broken)
+	fmt.Fprintf(w, "%s, seed %d: %d flows in %.0f s\n", s.Script, s.Seed, s.Flows, float64(r.Length)/1e6)
+	if s.Void != "" {
+		fmt.Fprintf(w, "VOID: %s\n", s.Void)
+	}
+	fmt.Fprintf(w, "  service %.3f, worst 10 s %.3f, worst type %.3f\n ", s.Service, s.Worst10, s.WorstType)
+	for _, word := range answerWords {
+		if n := s.Answers[word]; n > 0 {
+			fmt.Fprintf(w, " %s %d", word, n)
+		}
+	}
+	fmt.Fprintf(w, "\n  a flow: %.2f connects, %.2f probes, %.2f crossings, %.3f moves; %d breaks\n", s.Connects, s.Probes,
+		s.Crossings, s.Moves, s.Breaks)
+	fmt.Fprintf(w, "\n  %-16s %8s %10s %10s %10s %8s\n", "service type", "service", "setup p50", "p99", "target", "late")
+	for _, t := range r.Types {
+		u := s.Setup[t.Name]
+		fmt.Fprintf(w, "  %-16s %8.3f %7.1f ms %7.1f ms %7.0f ms %7.1f%%\n", t.Name, s.ByType[t.Name], u.P50, u.P99, u.Target,
+			u.Late*100)
+	}
+	where(w, r)
+	if len(broken) == 0 {
+		fmt.Fprintf(w, "\n  rules: all kept\n")
+	}
+	told := map[rules.Rule]int{}
+	for _, b := range broken {
+		if told[b.Rule]++; told[b.Rule] <= mostTold {
+			fmt.Fprintf(w, "\n%s", b.Report(r))
+		}
+	}
+	for _, rule := range rules.All {
+		if n := told[rule]; n > mostTold {
+			fmt.Fprintf(w, "and %d more of: %s\n", n-mostTold, rule)
+		}
+	}
+}
+
+const mostTold = 3 // breaches of a rule that are told in full
+
+// where tells which node sent how many flows to which host.
+func where(w io.Writer, r *record.Run) {
+	nodes := 0
+	for _, f := range r.Flows {
+		nodes = max(nodes, f.Node+1)
+	}
+	if nodes == 0 || nodes > 12 {
+		return
+	}
+	fmt.Fprintf(w, "\n  %-10s", "host")
+	for n := range nodes {
+		fmt.Fprintf(w, " %6s", fmt.Sprintf("n-%d", n))
+	}
+	fmt.Fprintf(w, " %12s\n", "peak load")
+	for h, host := range r.Hosts {
+		fmt.Fprintf(w, "  %-10s", host.Name)
+		for n := range nodes {
+			count := 0
+			for _, f := range r.Flows {
+				if f.Node == n && f.Host == h {
+					count++
+				}
+			}
+			fmt.Fprintf(w, " %6d", count)
+		}
+		peak := 0.0
+		if len(host.Load) > 0 {
+			peak = slices.Max(host.Load)
+		}
+		fmt.Fprintf(w, " %11.0f%% %s\n", peak*100, strings.Repeat("#", min(int(peak*20+0.5), 40)))
+	}
+}
--- /dev/null
+++ b/scenario/scenario.go
@@ -0,0 +1,298 @@
+// Package scenario reads scripts of a rehearsal: a fleet, its clients and a timeline of faults, as TOML. It decides
+// nothing and plays nothing; every fault of a script is told with its line and key.
+package scenario
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Span is a length of time, written as "250ms" or "12s". Whole microseconds.
+type Span int64
+
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time such as \"250ms\" or \"12s\"", text)
+	}
+	*s = Span(d.Microseconds())
+	return nil
+}
+
+func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Seconds is the span in seconds.
+func (s Span) Seconds() float64 { return float64(s) / 1e6 }
+func (s Span) String() string   { return (time.Duration(s) * time.Microsecond).String() }
+
+// Us is the span in microseconds.
+func (s Span) Us() int64 { return int64(s) }
+
+const (
+	ms     = Span(1000)
+	second = 1000 * ms
+)
+
+// Script is one rehearsal.
+type Script struct {
+	Name   string   `toml:"name"`
+	About  string   `toml:"about"`
+	Length Span     `toml:"length"` // until which clients come and benefit counts
+	Seed   uint64   `toml:"seed"`
+	Zones  []string `toml:"zones"`
+
+	Network   Network   `toml:"network"`
+	Fleet     Fleet     `toml:"fleet"`
+	Hosts     []Hosts   `toml:"hosts"`
+	Nodes     []Nodes   `toml:"nodes"`
+	Node      Node      `toml:"node"`
+	Discovery Discovery `toml:"discovery"`
+	Front     Front     `toml:"front"`
+	Store     Store     `toml:"store"`
+	Clients   Clients   `toml:"clients"`
+	Types     []Type    `toml:"types"`
+	Demand    Demand    `toml:"demand"`
+	Faults    []Fault   `toml:"faults"`
+
+	File     string     `toml:"-"` // where it was read
+	Recorded []Recorded `toml:"-"` // the flows of the file that Demand.Flows names
+}
+
+// Recorded is one client of a capture.
+type Recorded struct {
+	At    Span
+	Type  int
+	Zone  int
+	Group int // -1 without one
+	Key   string
+	Load  float64
+	Life  Span
+}
+
+// Network is the ways between machines; one way each.
+type Network struct {
+	Same   Span    `toml:"same"`   // within a zone
+	Cross  Span    `toml:"cross"`  // between zones
+	Client Span    `toml:"client"` // from a client to its node
+	Jitter float64 `toml:"jitter"` // share by which each delay varies
+}
+
+// Fleet is what all hosts have in common.
+type Fleet struct {
+	PerCore    float64 `toml:"flows_per_core"` // flows of load 1 that fill a core of speed 1
+	Cap        float64 `toml:"cap"`            // connections held at most, as a multiple of what fills the host
+	SetupWork  Span    `toml:"setup_work"`     // of a core of speed 1, for each set-up
+	ProbeWork  Span    `toml:"probe_work"`     // for each probe
+	Slots      float64 `toml:"slots_per_core"` // set-ups in work at once
+	Queue      float64 `toml:"queue_per_core"` // set-ups that wait
+	Cold       float64 `toml:"cold_from"`      // share of its capacity at which a host starts
+	ColdTime   Span    `toml:"cold_time"`      // until it has all of it
+	Multiple   float64 `toml:"fall_multiple"`  // sent more than this times what it can do ...
+	FallAfter  Span    `toml:"fall_after"`     // ... for so long, a cold host falls over and stays down
+	GroupCost  float64 `toml:"group_cost"`     // flows' loads that a group costs each host that holds any of it
+	Groups     int     `toml:"groups"`         // how many groups there are; 0 for none
+	ErrorRate  float64 `toml:"error_rate"`     // share of set-ups answered ERR
+	Drain      string  `toml:"drain"`          // none, paced or at_once: how a draining host sends its clients away
+	Buffer     Span    `toml:"buffer"`         // work of messages piled up at most
+	Sheds      string  `toml:"sheds"`          // none, newest or heaviest: whom a host drops when its buffer is full
+	Echo       string  `toml:"echo"`           // at_once or in_turn: whether lines come back before their work is done
+	TellsLoad  bool    `toml:"tells_load"`     // hosts send LOAD
+	LoadSpread float64 `toml:"load_spread"`    // sigma of flows' loads (log-normal)
+	Swing      float64 `toml:"swing"`          // sigma of its changes over a flow's life
+	Change     Span    `toml:"change"`         // a flow's load changes about so often
+	LifeSpread float64 `toml:"life_spread"`    // sigma of lives (log-normal)
+}
+
+// Hosts are some hosts alike.
+type Hosts struct {
+	Kind  string  `toml:"kind"`
+	Count int     `toml:"count"`
+	Cores float64 `toml:"cores"`
+	Speed float64 `toml:"speed"`
+	Zone  string  `toml:"zone"` // empty: spread over all zones
+	Boot  Span    `toml:"boot"` // when it starts; 0 for long ago
+}
+
+// Nodes are the nodes of a zone.
+type Nodes struct {
+	Zone  string `toml:"zone"`
+	Count int    `toml:"count"`
+}
+
+// Node is what each node has.
+type Node struct {
+	Sockets     int  `toml:"sockets"`
+	MemoryMB    int  `toml:"memory_mb"`
+	MaxConnects int  `toml:"max_connects"`
+	Probing     bool `toml:"probing"`
+	DrainGrace  Span `toml:"drain_grace"`
+	MaxWait     Span `toml:"max_wait"` // that clients obey when told to come again later; 0: they are not told
+	Dial        Span `toml:"dial_timeout"`
+
+	// What the node's own core costs, for play in virtual time; all 0: it costs nothing.
+	Turn   Span `toml:"turn_cost"`   // each turn of its loop
+	Event  Span `toml:"event_cost"`  // each event taken in
+	Socket Span `toml:"socket_cost"` // each connection opened, taken or closed
+	Line   Span `toml:"line_cost"`   // each 128 bytes sent or received
+}
+
+// Discovery is the service that names the hosts.
+type Discovery struct {
+	Notice  Span    `toml:"notice"`  // until it knows of what changed
+	Period  Span    `toml:"period"`  // it tells changes so often
+	Calls   float64 `toml:"calls"`   // calls a second that it can take; 0: any number
+	Refuses float64 `toml:"refuses"` // share of calls that it turns down
+}
+
+// Front deals clients out among the nodes of their zone.
+type Front struct {
+	Notice Span `toml:"notice"` // it goes on sending to a dead node for so long
+}
+
+// Store is a service that each set-up needs.
+type Store struct {
+	Rate float64 `toml:"rate"` // calls a second that it can take; 0: there is none
+	Time Span    `toml:"time"` // of a call
+}
+
+// Clients is what all clients have in common.
+type Clients struct {
+	Retries int     `toml:"retries"`    // tries after the first
+	Wait    string  `toml:"wait"`       // none, at_once, fixed or exponential
+	Pause   Span    `toml:"pause"`      // the fixed wait, and the first of the exponential ones
+	Honour  float64 `toml:"honour"`     // share of clients that wait as told
+	Back    [2]Span `toml:"back"`       // after a break a client comes again within
+	Moved   [2]Span `toml:"moved"`      // after MOVE
+	Every   Span    `toml:"line_every"` // a line of each established flow
+}
+
+// Type is a service type.
+type Type struct {
+	Name    string  `toml:"name"`
+	Share   float64 `toml:"share"`
+	Load    float64 `toml:"load"`
+	Life    float64 `toml:"life"`
+	Target  Span    `toml:"setup_target"`
+	Timeout Span    `toml:"connect_timeout"`
+	Message Span    `toml:"message_target"`
+	Benefit float64 `toml:"benefit"`
+	Effect  string  `toml:"effect"` // repeatable, referenced or once-only
+	Scope   string  `toml:"scope"`  // all or zone: hosts that know a referenced flow again
+	Window  Span    `toml:"window"` // for so long
+}
+
+// Demand is who comes.
+type Demand struct {
+	Rate  float64            `toml:"rate"` // new flows a second, over all zones
+	Life  Span               `toml:"life"` // of a flow of life 1, on average
+	Skew  map[string]float64 `toml:"skew"` // weight of a zone; 1 where none is given
+	Waves []Wave             `toml:"waves"`
+	Flows string             `toml:"flows"` // a file of flows, in place of a rate
+	Loops []Loop             `toml:"loops"`
+	Bulk  []Bulk             `toml:"bulk"`
+	Bad   []Bad              `toml:"bad"`
+}
+
+// Wave says by how much the rate is multiplied from a moment on; in between it changes evenly.
+type Wave struct {
+	At    Span    `toml:"at"`
+	Times float64 `toml:"times"`
+}
+
+// Loop is clients that open, and close as soon as they are established, again and again.
+type Loop struct {
+	At    Span   `toml:"at"`
+	For   Span   `toml:"for"`
+	Count int    `toml:"count"`
+	Type  string `toml:"type"`
+	Zone  string `toml:"zone"`
+}
+
+// Bulk is clients that send lines as fast as they come back.
+type Bulk struct {
+	At     Span   `toml:"at"`
+	For    Span   `toml:"for"`
+	Count  int    `toml:"count"`
+	Type   string `toml:"type"`
+	Zone   string `toml:"zone"`
+	Window int    `toml:"window"` // bytes on their way at once
+}
+
+// Bad is clients that keep no protocol, new ones so many a second.
+type Bad struct {
+	At   Span    `toml:"at"`
+	For  Span    `toml:"for"`
+	Rate float64 `toml:"rate"`
+	Kind string  `toml:"kind"`
+	Zone string  `toml:"zone"`
+}
+
+// BadKinds are the ways to keep no protocol.
+var BadKinds = []string{"garbage", "endless", "mute", "half", "no_type", "no_time", "many", "early", "huge"}
+
+// Fault is one thing that happens.
+type Fault struct {
+	At    Span     `toml:"at"`
+	Kind  string   `toml:"kind"`
+	Hosts []string `toml:"hosts"` // names, such as "h-3"; else Count or Share of them by chance
+	Nodes []string `toml:"nodes"`
+	Zone  string   `toml:"zone"`
+	Count int      `toml:"count"`
+	Share float64  `toml:"share"`
+	For   Span     `toml:"for"`
+	Size  float64  `toml:"size"`  // see the kinds
+	Delay Span     `toml:"delay"` // added to a link
+	On    Span     `toml:"on"`    // a neighbour is on and off for so long
+	Step  Span     `toml:"step"`  // between the members of a roll
+}
+
+// target is what a kind of fault strikes.
+type target uint8
+
+const (
+	nothing target = iota
+	hosts
+	nodes
+	zone
+)
+
+type faultKind struct {
+	strikes  target
+	size     string // what Size is; empty where it means nothing
+	low, top float64
+	needsFor bool
+}
+
+// faultKinds are the faults there are.
+var faultKinds = map[string]faultKind{
+	"crash":        {hosts, "", 0, 0, false}, // the process dies and, after for, comes back cold
+	"silent":       {hosts, "", 0, 0, true},  // the machine says nothing for so long, then comes back cold
+	"pause":        {hosts, "", 0, 0, true},  // stands still for so long
+	"slow":         {hosts, "times slower", 1, 1000, true},
+	"neighbour":    {hosts, "share of the machine taken", 0.01, 0.99, true},
+	"errors":       {hosts, "share of set-ups answered ERR", 0.001, 1, true},
+	"drain":        {hosts, "", 0, 0, true}, // drains for so long, then leaves
+	"restart":      {hosts, "", 0, 0, true}, // drains for so long, then comes back cold, one each step
+	"join":         {hosts, "", 0, 0, false},
+	"node_kill":    {nodes, "", 0, 0, true}, // down for so long
+	"node_stop":    {nodes, "", 0, 0, true}, // SIGTERM, down for so long after its end
+	"node_reload":  {nodes, "", 0, 0, false},
+	"node_starve":  {nodes, "share of its core taken", 0.01, 0.999, true},
+	"cut":          {zone, "", 0, 0, true}, // nothing passes between this zone and the others
+	"delay":        {zone, "", 0, 0, true}, // of what passes between this zone and the others
+	"breaks":       {zone, "share of its connections broken", 0.001, 1, false},
+	"store_slow":   {nothing, "times slower", 1, 1000, true},
+	"discovery":    {nothing, "", 0, 0, true}, // down for so long
+	"reconnect":    {nothing, "share of clients that drop and come again", 0.001, 1, true},
+	"discovery_no": {nothing, "share of calls refused", 0.001, 1, true},
+}
+
+// FaultKinds names them, in order.
+func FaultKinds() string {
+	var names []string
+	for k := range faultKinds {
+		names = append(names, k)
+	}
+	return strings.Join(sorted(names), ", ")
+}
--- /dev/null
+++ b/virtual/virtual.go
@@ -0,0 +1,444 @@
+// Package virtual plays a rehearsal in virtual time: the real node core, with its real parsers, over an emulated Net.
+// The same script and seed give the same run on every machine.
+package virtual
+
+import (
+	"fmt"
+	"syscall"
+
+	"coursewinch/discovery"
+	"coursewinch/fleet"
+	"coursewinch/lines"
+	"coursewinch/node"
+	"coursewinch/record"
+	"coursewinch/scenario"
+	"coursewinch/settings"
+)
+
+const (
+	epoch  = int64(1_700_000_000_000_000) // the time of day at the start of a run, microseconds
+	lead   = int64(100_000)               // for the nodes to start before the first client
+	leastT = int64(1)                     // of a turn: guards against a node that asks for now, again and again
+	poll   = int64(1000)                  // the loop's waits are whole milliseconds
+	others = 16                           // descriptors of a process besides its sockets
+)
+
+// Options are what a run may have besides its script.
+type Options struct {
+	Seed   uint64                                               // 0: the script's
+	Decide func(*settings.Settings, int64) node.Decider         // nil: the decision module
+	Watch  func(at int64, w *fleet.World)                       // called every virtual second
+	Tune   func(no int, set *settings.Settings, c *node.Config) // before a node is made
+}
+
+// player is the Nodes of a run.
+type player struct {
+	w     *fleet.World
+	s     *scenario.Script
+	opt   Options
+	nodes []*vnode
+	err   error
+	count node.Counters
+}
+
+// Play plays a script to its end.
+func Play(s *scenario.Script, opt Options) (*record.Run, error) {
+	seed := opt.Seed
+	if seed == 0 {
+		seed = s.Seed
+	}
+	p := &player{s: s, opt: opt}
+	p.w = fleet.New(s, seed, p, fleet.Places{Discovery: [2]string{"discovery-0", "discovery-1"}, Epoch: epoch, Lead: lead})
+	for no := range s.NodeCount() {
+		p.nodes = append(p.nodes, &vnode{p: p, no: no, turnAt: never})
+	}
+	p.w.Begin()
+	for at := int64(0); p.err == nil && at < p.w.End(); {
+		at = min(at+1_000_000, p.w.End())
+		p.w.Advance(at)
+		if opt.Watch != nil {
+			opt.Watch(at, p.w)
+		}
+	}
+	run := p.w.Run()
+	for _, v := range p.nodes {
+		v.tally()
+	}
+	run.NodePanics = p.count.Panics
+	return run, p.err
+}
+
+const never = int64(1) << 62
+
+// vnode is one node with its sockets.
+type vnode struct {
+	p       *player
+	no      int
+	n       *node.Node
+	life    int // counted at each start
+	socks   []*sock
+	held    int // sockets open
+	arrived []*sock
+	inbox   []input
+	turnAt  int64
+	busy    int64   // its core is, until then
+	starved float64 // share of its core that others take
+	cost    float64 // of this turn so far
+	stop    bool
+	follow  string
+}
+
+type what uint8
+
+const (
+	isUp what = iota
+	isRefused
+	hasBytes
+	isEnded
+	isBroken
+)
+
+// input is something that came to a socket.
+type input struct {
+	s    *sock
+	what what
+}
+
+// sock is one connection as the node's machine has it.
+type sock struct {
+	id      uint64
+	c       *fleet.Conn
+	in, out *lines.Ring
+	life    int
+	dialing bool
+	closed  bool
+	eof     bool
+	asked   bool   // in the inbox for its bytes
+	pending []byte // come and not read
+}
+
+// What reaches the nodes.
+
+func (p *player) Start(no int, conf fleet.Conf) {
+	v := p.nodes[no]
+	set, err := settings.JSON([]byte(conf.Settings))
+	if err != nil {
+		p.fail(fmt.Errorf("settings of node n-%d: %w", no, err))
+		return
+	}
+	known, err := discovery.ParseList([]byte(conf.Known))
+	if err != nil {
+		p.fail(fmt.Errorf("list of node n-%d: %w", no, err))
+		return
+	}
+	v.clear()
+	c := node.Config{Discovery: conf.Discovery, Seed: int64(conf.Seed >> 1), Decide: p.opt.Decide}
+	if p.opt.Tune != nil {
+		p.opt.Tune(no, set, &c)
+	}
+	v.n = node.New(set, c, v)
+	v.n.Begin(epoch+p.w.Now(), known)
+	v.plan()
+	p.w.Ready(no)
+}
+
+func (p *player) fail(err error) {
+	if p.err == nil {
+		p.err = err
+	}
+}
+
+func (p *player) Kill(no int)         { p.nodes[no].clear() }
+func (p *player) Listening(int, bool) {}
+
+func (p *player) Stop(no int) {
+	p.nodes[no].stop = true
+	p.nodes[no].wake()
+}
+
+func (p *player) Reload(no int, conf fleet.Conf) {
+	p.nodes[no].follow = conf.Discovery
+	p.nodes[no].wake()
+}
+
+func (p *player) Starve(no int, share float64) { p.nodes[no].starved = min(share, 0.999) }
+
+func (p *player) Arrive(c *fleet.Conn) {
+	v := p.nodes[c.Node]
+	s := &sock{c: c, life: v.life}
+	c.Ref = s
+	v.arrived = append(v.arrived, s)
+	v.wake()
+}
+
+// came notes what came for a socket; nil when the node doesn't have it any more.
+func (p *player) came(c *fleet.Conn, w what) *sock {
+	v := p.nodes[c.Node]
+	s, ok := c.Ref.(*sock)
+	if !ok || s.closed || s.life != v.life {
+		return nil
+	}
+	v.inbox = append(v.inbox, input{s, w})
+	v.wake()
+	return s
+}
+
+func (p *player) Up(c *fleet.Conn)      { p.came(c, isUp) }
+func (p *player) Refused(c *fleet.Conn) { p.came(c, isRefused) }
+func (p *player) End(c *fleet.Conn)     { p.came(c, isEnded) }
+func (p *player) Broken(c *fleet.Conn)  { p.came(c, isBroken) }
+
+func (p *player) Bytes(c *fleet.Conn, b []byte) {
+	s, ok := c.Ref.(*sock)
+	if !ok || s.closed {
+		return
+	}
+	s.pending = append(s.pending, b...)
+	if !s.asked {
+		s.asked = true
+		p.came(c, hasBytes)
+	}
+}
+
+// The loop.
+
+func (v *vnode) clear() {
+	v.tally()
+	v.life++
+	v.n, v.socks, v.held, v.arrived, v.inbox, v.turnAt, v.stop, v.follow = nil, nil, 0, nil, nil, never, false, ""
+	v.busy = 0
+}
+
+func (v *vnode) tally() {
+	if v.n != nil {
+		v.p.count.Panics += v.n.Count.Panics
+	}
+}
+
+func (v *vnode) wake() { v.turn(max(v.p.w.Now(), v.busy)) }
+
+// turn asks for a turn at a moment; only the earliest that was asked for is held.
+func (v *vnode) turn(at int64) {
+	if v.n == nil || at >= v.turnAt {
+		return
+	}
+	v.turnAt = at
+	v.p.w.At(at, func() {
+		if v.turnAt == at {
+			v.turnAt = never
+			v.round()
+		}
+	})
+}
+
+// plan asks for the turn at the node's next deadline.
+func (v *vnode) plan() {
+	if len(v.inbox) > 0 || len(v.arrived) > 0 && v.room() {
+		v.wake()
+	}
+	next, ok := v.n.Next()
+	if !ok {
+		return
+	}
+	now := v.p.w.Now()
+	wait := max(next-epoch-now, 0)
+	v.turn(max(now+(wait+poll-1)/poll*poll, v.busy))
+}
+
+func (v *vnode) room() bool { return v.Room() > 0 }
+
+func (v *vnode) round() {
+	now := v.p.w.Now()
+	node := &v.p.s.Node
+	v.cost = float64(node.Turn)
+	v.n.Turn(epoch+now, v.dispatch)
+	cost := int64(v.cost / (1 - v.starved))
+	v.busy = now + max(cost, leastT)
+	if v.n.Done() {
+		life := v.life
+		v.p.w.At(v.busy, func() {
+			if v.life == life {
+				v.clear()
+				v.p.w.Exited(v.no, "stopped")
+			}
+		})
+		return
+	}
+	v.plan()
+}
+
+func (v *vnode) dispatch() {
+	if v.stop {
+		v.stop = false
+		v.n.Stop()
+	}
+	if v.follow != "" {
+		v.n.Follow(v.follow)
+		v.follow = ""
+	}
+	inbox := v.inbox
+	v.inbox = nil
+	for _, i := range inbox {
+		if !i.s.closed && i.s.in != nil {
+			v.cost += float64(v.p.s.Node.Event)
+			v.take(i)
+		} else if !i.s.closed {
+			v.inbox = append(v.inbox, i) // not accepted yet
+		}
+	}
+	v.accept()
+}
+
+func (v *vnode) accept() {
+	for len(v.arrived) > 0 {
+		if !v.n.Spare() || v.Room() < 1 {
+			return
+		}
+		s := v.arrived[0]
+		v.arrived = v.arrived[1:]
+		v.cost += float64(v.p.s.Node.Socket + v.p.s.Node.Event)
+		s.id, s.in, s.out = v.n.Accept()
+		v.put(s)
+	}
+}
+
+func (v *vnode) put(s *sock) {
+	no := int(uint32(s.id))
+	for len(v.socks) <= no {
+		v.socks = append(v.socks, nil)
+	}
+	v.socks[no] = s
+	v.held++
+}
+
+func (v *vnode) get(id uint64) *sock {
+	if no := int(uint32(id)); no < len(v.socks) && v.socks[no] != nil && v.socks[no].id == id {
+		return v.socks[no]
+	}
+	return nil
+}
+
+func (v *vnode) take(i input) {
+	s := i.s
+	switch i.what {
+	case isUp:
+		s.dialing = false
+		v.n.Connected(s.id)
+	case isRefused:
+		v.n.Ended(s.id, syscall.ECONNREFUSED)
+	case hasBytes:
+		v.read(s)
+	case isEnded:
+		if len(s.pending) > 0 { // after what came before it
+			v.read(s)
+			if !s.closed && len(s.pending) > 0 {
+				v.inbox = append(v.inbox, i)
+				return
+			}
+		}
+		if !s.closed {
+			s.eof = true
+			v.n.Ended(s.id, nil)
+		}
+	case isBroken:
+		v.n.Ended(s.id, syscall.ECONNRESET)
+	}
+}
+
+// read moves what has come into the ring, as much as it takes, and tells the node.
+func (v *vnode) read(s *sock) {
+	got := 0
+	for len(s.pending) > 0 {
+		space := s.in.Space()
+		n := copy(space, s.pending)
+		if n == 0 {
+			break
+		}
+		s.in.Grow(n)
+		s.pending = s.pending[n:]
+		got += n
+	}
+	s.in.Drop(0)
+	v.cost += float64(v.p.s.Node.Line) * float64(got) / 128
+	if got > 0 {
+		v.n.Received(s.id)
+	}
+	s.asked = len(s.pending) > 0 && !s.closed
+	if s.asked {
+		v.inbox = append(v.inbox, input{s, hasBytes})
+	} else {
+		s.pending = nil
+	}
+}
+
+// emit lets something go out when the turn has come so far.
+func (v *vnode) emit(do func()) {
+	cost := int64(v.cost / (1 - v.starved))
+	if cost == 0 {
+		do()
+		return
+	}
+	life := v.life
+	v.p.w.At(v.p.w.Now()+cost, func() {
+		if v.life == life {
+			do()
+		}
+	})
+}
+
+// The node's Net.
+
+func (v *vnode) Room() int { return v.p.s.Node.Sockets - others - v.held }
+
+func (v *vnode) Dial(id uint64, to string, in, out *lines.Ring) {
+	s := &sock{id: id, in: in, out: out, dialing: true, life: v.life}
+	if v.Room() < 1 {
+		v.put(s)
+		v.inbox = append(v.inbox, input{s, isRefused})
+		return
+	}
+	v.put(s)
+	v.cost += float64(v.p.s.Node.Socket)
+	v.emit(func() {
+		if !s.closed {
+			s.c = v.p.w.Dialed(v.no, to, s)
+		}
+	})
+}
+
+func (v *vnode) Touch(id uint64) {
+	s := v.get(id)
+	if s == nil || s.dialing || s.out.Len() == 0 {
+		return
+	}
+	b := append([]byte(nil), s.out.Peek(s.out.Len())...)
+	s.out.Drop(len(b))
+	v.cost += float64(v.p.s.Node.Line) * float64(len(b)) / 128
+	v.emit(func() { v.p.w.Wrote(s.c, b) })
+}
+
+func (v *vnode) Shut(id uint64) {
+	if s := v.get(id); s != nil && !s.dialing {
+		v.Touch(id)
+		v.emit(func() { v.p.w.Shut(s.c) })
+	}
+}
+
+func (v *vnode) Close(id uint64) { v.end(id, v.p.w.Closed) }
+func (v *vnode) Reset(id uint64) { v.end(id, v.p.w.Broke) }
+
+func (v *vnode) end(id uint64, how func(*fleet.Conn)) {
+	s := v.get(id)
+	if s == nil {
+		return
+	}
+	s.closed = true
+	v.socks[uint32(id)] = nil
+	v.held--
+	v.cost += float64(v.p.s.Node.Socket)
+	v.emit(func() {
+		if s.c != nil {
+			how(s.c)
+		}
+	})
+}
