--- /dev/null
+++ b/cmd/rehearse/live.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"coursewinch/live"
+	"coursewinch/scenario"
+)
+
+// nodeProgram is the node that lies beside this program.
+func nodeProgram() string {
+	self, err := os.Executable()
+	if err != nil {
+		return "coursewinch"
+	}
+	return filepath.Join(filepath.Dir(self), "coursewinch")
+}
+
+func liveCommand() *cobra.Command {
+	var opt live.Options
+	var out outputs
+	c := &cobra.Command{
+		Use:   "live SCRIPT",
+		Short: "Play a script against real node processes on loopback, in real time",
+		Long: "Live starts the script's nodes as processes on addresses of 127.0.0.0/8 and plays the same fleet behind real\n" +
+			"sockets. When the machine ran late the run is void, exit code 3, and says nothing of the node.",
+		Example: "  rehearse live calm-evening\n  rehearse live busy-evening --node-logs logs --seed 4",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := scenario.Load(args[0])
+			if err != nil {
+				return err
+			}
+			r, err := live.Play(s, opt)
+			if err != nil {
+				return err
+			}
+			return out.give(r)
+		},
+	}
+	c.Flags().Uint64Var(&opt.Seed, "seed", 0, "seed in place of the script's own")
+	c.Flags().StringVar(&opt.Program, "node", nodeProgram(), "the node's `program`")
+	c.Flags().StringVar(&opt.Logs, "node-logs", "", "`folder` for the nodes' files and logs; a temporary one without")
+	out.flags(c)
+	return c
+}
--- a/fleet/discovery.go
+++ b/fleet/discovery.go
@@ -10,9 +10,6 @@
 	"coursewinch/record"
 )
 
-// Addresses of discovery; a node that is told to reload goes from one to the other.
-var discoveryAt = [2]string{"discovery-0", "discovery-1"}
-
 // change is one entry of discovery's journal.
 type change struct {
 	rev   int64
@@ -47,10 +44,10 @@
 	down    int
 	refuses float64
 	freeAt  int64 // when it has dealt with the calls that wait
-	addrs   [2]string
+	addrs   map[string]bool
 }
 
-func (d *discovery) exists(addr string) bool { return d.down == 0 && slices.Contains(d.addrs[:], addr) }
+func (d *discovery) exists(addr string) bool { return d.down == 0 && d.addrs[addr] }
 
 // learn puts what became of a host into the journal, after the time that discovery takes to notice.
 func (d *discovery) learn(h *host) {
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -493,7 +493,9 @@
 func (h *host) die(to hostState) {
 	h.play()
 	h.state = to
-	h.w.side.Listening(h.no, false)
+	if to != mute {
+		h.w.side.Listening(h.no, false)
+	}
 	conns := slices.Clone(h.conns)
 	for _, hc := range conns {
 		if to != mute {
--- a/fleet/net.go
+++ b/fleet/net.go
@@ -60,6 +60,7 @@
 // dir is one direction of a connection.
 type dir struct {
 	last int64 // when what was sent last comes
+	used bool
 	held []func()
 	wait bool // for the end of a cut
 }
@@ -108,8 +109,12 @@
 		}
 		return
 	}
-	d.last = max(d.last, w.now+w.latency(c.way))
-	w.At(d.last, do)
+	at := w.now + w.latency(c.way)
+	if d.used {
+		at = max(at, d.last)
+	}
+	d.last, d.used = at, true
+	w.At(at, do)
 }
 
 // resume lets go what waited for the end of a cut.
@@ -125,7 +130,7 @@
 		d.wait = false
 		held := d.held
 		d.held = nil
-		d.last = max(d.last, w.now+w.netChance.Int64N(resent))
+		d.last, d.used = max(d.last, w.now+w.netChance.Int64N(resent)), true
 		for _, do := range held {
 			w.carry(c, d, do)
 		}
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -11,11 +11,11 @@
 
 // Places are the addresses of a run; in virtual time they are names, on sockets addresses of 127.0.0.0/8.
 type Places struct {
-	Listen    func(node int) string       // where clients reach a node
-	Host      func(node, host int) string // where a node reaches a host; nil: the same for all
-	Discovery [2]string
-	Epoch     int64 // the time of day at the start, microseconds since 1970
-	Lead      int64 // for the nodes to start before the run; a whole number of tenths of a second
+	Listen    func(node int) string        // where clients reach a node
+	Host      func(node, host int) string  // where a node reaches a host; nil: the same for all
+	Discovery func(node, which int) string // of its two addresses; a reload goes from one to the other
+	Epoch     int64                        // the time of day at the start, microseconds since 1970
+	Lead      int64                        // for the nodes to start before the run; a whole number of tenths of a second
 }
 
 // Conf is what a node is told at its start, as the JSON text of its file.
@@ -102,7 +102,10 @@
 	w.meanLoad /= shares
 	w.makeHosts()
 	w.makeNodes()
-	w.disc = &discovery{w: w, chance: w.chance(forDiscovery), now: make([]entry, len(w.hosts)), addrs: place.Discovery}
+	w.disc = &discovery{w: w, chance: w.chance(forDiscovery), now: make([]entry, len(w.hosts)), addrs: map[string]bool{}}
+	for n := range w.nodes {
+		w.disc.addrs[place.Discovery(n, 0)], w.disc.addrs[place.Discovery(n, 1)] = true, true
+	}
 	for _, h := range w.hosts {
 		if h.state == running {
 			w.disc.note(entry{h.no, "ready", h.boot, 0})
@@ -267,7 +270,7 @@
 
 // conf is what a node is told.
 func (w *World) conf(n *nodeState) Conf {
-	c := Conf{Name: n.name, Listen: n.name, Discovery: w.place.Discovery[n.reload%2],
+	c := Conf{Name: n.name, Listen: n.name, Discovery: w.place.Discovery(n.no, n.reload%2),
 		Seed: w.seed*0x9e3779b97f4a7c15 + uint64(n.no)*1000003 + uint64(n.run)}
 	if w.place.Listen != nil {
 		c.Listen = w.place.Listen(n.no)
--- /dev/null
+++ b/live/live.go
@@ -0,0 +1,225 @@
+// Package live plays a rehearsal against real node processes on addresses of 127.0.0.0/8: the same script and the same
+// fleet model, behind real sockets and in real time. It says when the machine ran late; such a run is void and says
+// nothing of the node.
+package live
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"coursewinch/fleet"
+	"coursewinch/record"
+	"coursewinch/scenario"
+)
+
+const (
+	lead      = int64(3_000_000) // for processes to start before the first client, microseconds
+	mostPairs = 2048             // of a node and a host: each has a listener
+	lateP99   = 20_000           // events of the fleet that ran later than this made the run void, microseconds
+	lateWorst = 400_000
+)
+
+// Options are what a run may have besides its script.
+type Options struct {
+	Seed    uint64
+	Program string                              // of the node
+	Logs    string                              // folder for the nodes' logs; empty: a temporary one
+	Run     func(no int, env []string) []string // more of a node's environment
+}
+
+// player is the Nodes of a run. Its fields but for in belong to the goroutine that plays the world.
+type player struct {
+	w     *fleet.World
+	opt   Options
+	dir   string
+	nodes []*process
+	hosts [][]*gate // by node, then host
+	disc  [][2]*gate
+	in    chan func()
+	start time.Time
+	late  *hdrhistogram.Histogram
+	err   error
+	done  chan struct{}
+}
+
+// Play plays a script to its end.
+func Play(s *scenario.Script, opt Options) (*record.Run, error) {
+	if n := s.NodeCount() * s.HostCount(); n > mostPairs {
+		return nil, fmt.Errorf("%d nodes and %d hosts are too many for one machine: %d pairs at most", s.NodeCount(),
+			s.HostCount(), mostPairs)
+	}
+	if _, err := os.Stat(opt.Program); err != nil {
+		return nil, fmt.Errorf("the node's program: %w", err)
+	}
+	seed := opt.Seed
+	if seed == 0 {
+		seed = s.Seed
+	}
+	p := &player{opt: opt, in: make(chan func(), 4096), done: make(chan struct{}),
+		late: hdrhistogram.New(1, 60_000_000, 3)}
+	if err := p.prepare(s); err != nil {
+		p.cleanUp()
+		return nil, err
+	}
+	defer p.cleanUp()
+	p.start = time.Now().Add(time.Duration(lead) * time.Microsecond)
+	p.w = fleet.New(s, seed, p, fleet.Places{
+		Listen:    func(n int) string { return p.nodes[n].addr },
+		Host:      func(n, h int) string { return p.hosts[n][h].addr },
+		Discovery: func(n, which int) string { return p.disc[n][which].addr },
+		Epoch:     p.start.UnixMicro(), Lead: lead})
+	p.open()
+	p.w.Begin()
+	ready := p.play(-100_000) && p.w.AllReady()
+	if p.err == nil && !ready {
+		p.err = errors.New("not every node answered PING in time: " + p.logTail())
+	}
+	if p.err == nil {
+		p.play(p.w.End())
+	}
+	run := p.w.Run()
+	for _, n := range p.nodes {
+		run.NodeCPU = append(run.NodeCPU, n.cpu())
+	}
+	run.NodePanics = p.panics()
+	p.judge(run)
+	return run, p.err
+}
+
+// prepare makes the folder and reserves addresses.
+func (p *player) prepare(s *scenario.Script) (err error) {
+	if p.dir = p.opt.Logs; p.dir == "" {
+		p.dir, err = os.MkdirTemp("", "rehearse-")
+	} else {
+		err = os.MkdirAll(p.dir, 0o755)
+	}
+	if err != nil {
+		return err
+	}
+	for n := range s.NodeCount() {
+		addr, err := freePort(loopback(0, n))
+		if err != nil {
+			return err
+		}
+		p.nodes = append(p.nodes, &process{p: p, no: n, addr: addr, conf: filepath.Join(p.dir, fmt.Sprintf("n-%d.json", n)),
+			log: filepath.Join(p.dir, fmt.Sprintf("n-%d.log", n))})
+		os.Remove(p.nodes[n].log)
+		var gates []*gate
+		for h := range s.HostCount() {
+			g, err := newGate(p, n, loopback(1, h))
+			if err != nil {
+				return err
+			}
+			gates = append(gates, g)
+		}
+		p.hosts = append(p.hosts, gates)
+		var both [2]*gate
+		for i := range both {
+			if both[i], err = newGate(p, n, loopback(2, i)); err != nil {
+				return err
+			}
+		}
+		p.disc = append(p.disc, both)
+	}
+	return nil
+}
+
+// loopback is an address for a thing of some kind. Runs of different processes have blocks of their own, so that they
+// never take each other's ports.
+func loopback(kind, no int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%250, kind*16+no/250, no%250+1)
+}
+
+// open starts to take connections at all addresses.
+func (p *player) open() {
+	for n := range p.hosts {
+		for _, g := range p.hosts[n] {
+			g.serve()
+		}
+		for _, g := range p.disc[n] {
+			g.serve()
+		}
+	}
+}
+
+func (p *player) clock() int64 { return time.Since(p.start).Microseconds() }
+
+// post hands something to the goroutine that plays the world.
+func (p *player) post(do func()) {
+	select {
+	case p.in <- do:
+	case <-p.done:
+	}
+}
+
+// play goes on until a moment and tells whether it came there.
+func (p *player) play(until int64) bool {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for p.err == nil {
+		now := p.clock()
+		p.advance(now)
+		if now >= until {
+			return true
+		}
+		wait := until - now
+		if next, ok := p.w.Next(); ok {
+			wait = min(wait, max(next-p.clock(), 0))
+		}
+		timer.Reset(time.Duration(wait) * time.Microsecond)
+		select {
+		case do := <-p.in:
+			p.advance(p.clock())
+			do()
+			for range len(p.in) {
+				(<-p.in)()
+			}
+		case <-timer.C:
+		}
+	}
+	return false
+}
+
+// advance plays what is due and notes how late it is.
+func (p *player) advance(now int64) {
+	if next, ok := p.w.Next(); ok && next <= now && now > 0 {
+		p.late.RecordValue(max(now-next, 1))
+	}
+	p.w.Advance(now)
+}
+
+// judge marks a run void on which the machine, not the node, was late.
+func (p *player) judge(r *record.Run) {
+	p99, worst := p.late.ValueAtQuantile(99), p.late.Max()
+	if p99 > lateP99 || worst > lateWorst {
+		r.Void = fmt.Sprintf("the machine ran late: 99%% of the fleet's events within %d ms, worst %d ms (%d and %d allowed)",
+			p99/1000, worst/1000, lateP99/1000, lateWorst/1000)
+	}
+}
+
+func (p *player) cleanUp() {
+	close(p.done)
+	for _, n := range p.nodes {
+		n.end()
+	}
+	for n := range p.hosts {
+		for _, g := range p.hosts[n] {
+			g.close()
+		}
+	}
+	for _, both := range p.disc {
+		for _, g := range both {
+			if g != nil {
+				g.close()
+			}
+		}
+	}
+	if p.opt.Logs == "" {
+		os.RemoveAll(p.dir)
+	}
+}
--- a/record/record.go
+++ b/record/record.go
@@ -195,7 +195,8 @@
 	Void       string // why a live run says nothing; empty where it does
 	Notes      []string
 	NodePanics int
-	Strange    []string // what hosts were sent that no client sent
+	NodeCPU    []float64 // seconds that each node's last process has used; live runs only
+	Strange    []string  // what hosts were sent that no client sent
 }
 
 // Answers writes the final answers, a line a flow in the order of asking: id, type, node, connects with host, outcome
--- a/report/text.go
+++ b/report/text.go
@@ -33,6 +33,7 @@
 	Breaches  map[string]int     `json:"breaches"`
 	Hash      string             `json:"answers_sha256"`
 	Events    uint64             `json:"events"`
+	NodeCPU   float64            `json:"node_cpu_s,omitempty"`
 	Void      string             `json:"void,omitempty"`
 }
 
@@ -56,6 +57,9 @@
 		s.Setup[t.Name] = Setup{float64(record.Quantile(f.Setups[i], 0.5)) / 1000,
 			float64(record.Quantile(f.Setups[i], 0.99)) / 1000, float64(t.Target) / 1000, f.LateShare[i]}
 	}
+	for _, cpu := range r.NodeCPU {
+		s.NodeCPU += cpu
+	}
 	for _, b := range broken {
 		s.Breaches[string(b.Rule)]++
 	}
@@ -94,6 +98,9 @@
 	}
 	fmt.Fprintf(w, "\n  a flow: %.2f connects, %.2f probes, %.2f crossings, %.3f moves; %d breaks\n", s.Connects, s.Probes,
 		s.Crossings, s.Moves, s.Breaks)
+	if s.NodeCPU > 0 {
+		fmt.Fprintf(w, "  nodes' CPU %.2f s, %.0f us a flow\n", s.NodeCPU, s.NodeCPU*1e6/float64(max(s.Flows, 1)))
+	}
 	fmt.Fprintf(w, "\n  %-16s %8s %10s %10s %10s %8s\n", "service type", "service", "setup p50", "p99", "target", "late")
 	for _, t := range r.Types {
 		u := s.Setup[t.Name]
--- a/scenario/check.go
+++ b/scenario/check.go
@@ -195,7 +195,7 @@
 	for _, c := range []struct {
 		key string
 		v   Span
-	}{{"turn_cost", n.Turn}, {"event_cost", n.Event}, {"socket_cost", n.Socket}, {"line_cost", n.Line}} {
+	}{{"turn_cost", n.Turn}, {"event_cost", n.Event}, {"socket_cost", n.Socket}, {"kb_cost", n.KB}} {
 		f.span("node."+c.key, c.v, 0, second)
 	}
 }
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -134,7 +134,7 @@
 	Turn   Span `toml:"turn_cost"`   // each turn of its loop
 	Event  Span `toml:"event_cost"`  // each event taken in
 	Socket Span `toml:"socket_cost"` // each connection opened, taken or closed
-	Line   Span `toml:"line_cost"`   // each 128 bytes sent or received
+	KB     Span `toml:"kb_cost"`     // each 1024 bytes sent or received
 }
 
 // Discovery is the service that names the hosts.
--- a/virtual/virtual.go
+++ b/virtual/virtual.go
@@ -17,7 +17,7 @@
 
 const (
 	epoch  = int64(1_700_000_000_000_000) // the time of day at the start of a run, microseconds
-	lead   = int64(100_000)               // for the nodes to start before the first client
+	lead   = int64(3_000_000)             // before the first client, as in live play: nodes have probed idle hosts by then
 	leastT = int64(1)                     // of a turn: guards against a node that asks for now, again and again
 	poll   = int64(1000)                  // the loop's waits are whole milliseconds
 	others = 16                           // descriptors of a process besides its sockets
@@ -48,7 +48,7 @@
 		seed = s.Seed
 	}
 	p := &player{s: s, opt: opt}
-	p.w = fleet.New(s, seed, p, fleet.Places{Discovery: [2]string{"discovery-0", "discovery-1"}, Epoch: epoch, Lead: lead})
+	p.w = fleet.New(s, seed, p, fleet.Places{Discovery: func(_, which int) string { return [2]string{"discovery-0", "discovery-1"}[which] }, Epoch: epoch, Lead: lead})
 	for no := range s.NodeCount() {
 		p.nodes = append(p.nodes, &vnode{p: p, no: no, turnAt: never})
 	}
@@ -359,7 +359,7 @@
 		got += n
 	}
 	s.in.Drop(0)
-	v.cost += float64(v.p.s.Node.Line) * float64(got) / 128
+	v.cost += float64(v.p.s.Node.KB) * float64(got) / 1024
 	if got > 0 {
 		v.n.Received(s.id)
 	}
@@ -413,7 +413,7 @@
 	}
 	b := append([]byte(nil), s.out.Peek(s.out.Len())...)
 	s.out.Drop(len(b))
-	v.cost += float64(v.p.s.Node.Line) * float64(len(b)) / 128
+	v.cost += float64(v.p.s.Node.KB) * float64(len(b)) / 1024
 	v.emit(func() { v.p.w.Wrote(s.c, b) })
 }
 
