--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"coursewinch/capture"
 	"coursewinch/discovery"
 	"coursewinch/epoll"
 	"coursewinch/node"
@@ -27,6 +29,8 @@
 // held are the descriptors besides sockets: standard ones, the poll, the waker, the runtime's own, and the listener.
 const held = 16
 
+const captureMB = 64 // that a capture holds at most, where the file doesn't say
+
 type config struct {
 	Name      string
 	Listen    string
@@ -36,6 +40,10 @@
 		Memory  int64 `json:"memory_mb"`
 		Sockets int
 	}
+	Capture struct {
+		File string
+		MB   int64
+	}
 	Known    json.RawMessage
 	Settings json.RawMessage
 
@@ -62,6 +70,9 @@
 	if c.Limits.Memory < 0 || c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < 2*held {
 		return nil, fmt.Errorf("limits of %d MB and %d sockets can't be kept", c.Limits.Memory, c.Limits.Sockets)
 	}
+	if c.Capture.MB < 0 || c.Capture.MB > 1<<20 {
+		return nil, fmt.Errorf("capture of %d MB: 0 (for %d) to %d", c.Capture.MB, captureMB, 1<<20)
+	}
 	if c.set, err = settings.JSON(c.Settings); err != nil {
 		return nil, err
 	}
@@ -138,7 +149,20 @@
 	if err != nil {
 		return err
 	}
-	d.Node = node.New(c.set, node.Config{Discovery: c.Discovery, Seed: c.seed}, loop)
+	conf := node.Config{Discovery: c.Discovery, Seed: c.seed}
+	if c.Capture.File != "" {
+		w, err := capture.Create(c.Capture.File, cmp.Or(c.Capture.MB, captureMB)<<20,
+			capture.Start{Node: c.Name, Zone: c.set.Zone, At: time.Now().UnixMicro()})
+		if err != nil {
+			return fmt.Errorf("capture: %w", err)
+		}
+		defer func() {
+			w.Close()
+			log.Printf("msg=captured dropped=%d stopped=%q", w.Dropped.Load(), w.Why())
+		}()
+		conf.Capture = w
+	}
+	d.Node = node.New(c.set, conf, loop)
 	go func() {
 		for s := range signals {
 			switch s {
--- /dev/null
+++ b/cmd/rehearse/experiment.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"coursewinch/report"
+	"coursewinch/scenario"
+	"coursewinch/trial"
+)
+
+func experimentCommand() *cobra.Command {
+	var variants []string
+	var html string
+	var asJSON bool
+	plan := trial.Plan{First: 1}
+	c := &cobra.Command{
+		Use:   "experiment SCRIPT...",
+		Short: "Play scripts over many seeds with several builds, settings or baselines, and compare",
+		Long: "Experiment plays each script with each variant over the same seeds, in parallel over cores, and gives mean\n" +
+			"differences from the first variant with 95 % bootstrap intervals. Variants are module, baseline:NAME,\n" +
+			"build:PROGRAM (another build of rehearse) and set:KEY=VALUE[;KEY=VALUE]; NAME@ before one names it.\n" +
+			"The script name all stands for every shipped script but full-size and full-core.",
+		Example: "  rehearse experiment all --variant module --variant baseline:random --seeds 20\n" +
+			"  rehearse experiment busy-evening --variant module --variant few@set:node.max_connects=1\n" +
+			"  rehearse experiment zone-cut --variant now@module --variant before@build:old/rehearse --html out.html",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			for _, name := range args {
+				if name != "all" {
+					plan.Scripts = append(plan.Scripts, name)
+					continue
+				}
+				for _, s := range scenario.Shipped() {
+					if s != "full-size" && s != "full-core" {
+						plan.Scripts = append(plan.Scripts, s)
+					}
+				}
+			}
+			for _, text := range variants {
+				v, err := trial.ParseVariant(text)
+				if err != nil {
+					return err
+				}
+				plan.Variants = append(plan.Variants, v)
+			}
+			if plan.Seeds < 1 {
+				return fmt.Errorf("%d seeds: one at least", plan.Seeds)
+			}
+			plan.Progress = func(done, all int) {
+				if step := max(all/20, 1); done%step == 0 || done == all {
+					fmt.Fprintf(os.Stderr, "\r%d of %d runs", done, all)
+				}
+				if done == all {
+					fmt.Fprintln(os.Stderr)
+				}
+			}
+			if _, err := logsTo(""); err != nil {
+				return err
+			}
+			cells, err := plan.Run()
+			if err != nil {
+				return err
+			}
+			if html != "" {
+				f, err := os.Create(html)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				if err := trial.HTML(f, cells, plan.Seeds); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				return report.JSON(os.Stdout, cells)
+			}
+			trial.Text(os.Stdout, cells, plan.Seeds)
+			return nil
+		},
+	}
+	c.Flags().StringArrayVar(&variants, "variant", []string{"module"}, "what to compare; the first is the reference")
+	c.Flags().IntVar(&plan.Seeds, "seeds", 20, "seeds a script and variant")
+	c.Flags().Uint64Var(&plan.First, "first-seed", 1, "the first of them")
+	c.Flags().IntVar(&plan.Workers, "workers", 0, "runs at once; 0 for one a core")
+	c.Flags().StringVar(&html, "html", "", "write a page with plots to this `file`")
+	c.Flags().BoolVar(&asJSON, "json", false, "print figures as JSON")
+	return c
+}
--- a/cmd/rehearse/live.go
+++ b/cmd/rehearse/live.go
@@ -44,6 +44,7 @@
 	c.Flags().Uint64Var(&opt.Seed, "seed", 0, "seed in place of the script's own")
 	c.Flags().StringVar(&opt.Program, "node", nodeProgram(), "the node's `program`")
 	c.Flags().StringVar(&opt.Logs, "node-logs", "", "`folder` for the nodes' files and logs; a temporary one without")
+	c.Flags().StringVar(&opt.Capture, "capture", "", "`folder` in which nodes write captures")
 	out.flags(c)
 	return c
 }
--- a/cmd/rehearse/play.go
+++ b/cmd/rehearse/play.go
@@ -19,10 +19,12 @@
 	json    bool
 	answers string
 	logs    string
+	html    string
 }
 
 func (o *outputs) flags(c *cobra.Command) {
 	c.Flags().BoolVar(&o.json, "json", false, "print figures as JSON")
+	c.Flags().StringVar(&o.html, "html", "", "write a page with plots to this `file`")
 	c.Flags().StringVar(&o.answers, "answers", "", "write the final answers, a line a flow, to this `file`")
 	c.Flags().StringVar(&o.logs, "logs", "", "write the nodes' log lines to this `file`")
 }
@@ -40,6 +42,16 @@
 			return err
 		}
 	}
+	if o.html != "" {
+		f, err := os.Create(o.html)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := report.HTML(f, r, broken); err != nil {
+			return err
+		}
+	}
 	if o.json {
 		if err := report.JSON(os.Stdout, report.Of(r, broken)); err != nil {
 			return err
@@ -57,7 +69,7 @@
 }
 
 func playCommand() *cobra.Command {
-	var seed uint64
+	var opt virtual.Options
 	var out outputs
 	c := &cobra.Command{
 		Use:   "play SCRIPT",
@@ -76,7 +88,7 @@
 			}
 			defer done()
 			start := time.Now()
-			r, err := virtual.Play(s, virtual.Options{Seed: seed})
+			r, err := virtual.Play(s, opt)
 			if err != nil {
 				return err
 			}
@@ -89,7 +101,9 @@
 			return err
 		},
 	}
-	c.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the script's own")
+	c.Flags().Uint64Var(&opt.Seed, "seed", 0, "seed in place of the script's own")
+	c.Flags().Uint64Var(&opt.NodeSeed, "node-seed", 0, "another seed for the nodes' own chance")
+	c.Flags().StringVar(&opt.Capture, "capture", "", "`folder` in which nodes write captures")
 	out.flags(c)
 	return c
 }
--- /dev/null
+++ b/cmd/rehearse/replay.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"coursewinch/capture"
+	"coursewinch/replay"
+	"coursewinch/scenario"
+	"coursewinch/virtual"
+)
+
+func replayCommand() *cobra.Command {
+	var fleet, flows string
+	var from time.Duration
+	var opt virtual.Options
+	var out outputs
+	c := &cobra.Command{
+		Use:   "replay CAPTURE...",
+		Short: "Play the clients of captures, as nodes wrote them, on a script's fleet",
+		Long: "Replay puts the captures of all nodes together, client by client over retries, breaks and moves, and plays\n" +
+			"them in virtual time on the fleet, with the faults, of a script. With --flows it also writes them as a file that\n" +
+			"demand.flows of a script can name.",
+		Example: "  rehearse replay captures/*.capture --fleet busy-evening\n" +
+			"  rehearse replay captures/*.capture --fleet my-fleet.toml --flows evening.flows",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := scenario.Load(fleet)
+			if err != nil {
+				return err
+			}
+			all, err := readCaptures(args)
+			if err != nil {
+				return err
+			}
+			var left []string
+			s.Recorded, left = replay.ToScript(all, s, from.Microseconds())
+			for _, text := range left {
+				fmt.Fprintln(os.Stderr, "left out:", text)
+			}
+			if len(s.Recorded) == 0 {
+				return fmt.Errorf("no client in the captures of %s", replay.Names(all))
+			}
+			s.Demand.Flows, s.Name = filepath.Base(flows), s.Name+" (replay)"
+			if flows != "" {
+				f, err := os.Create(flows)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				if err := scenario.WriteFlows(f, s, s.Recorded); err != nil {
+					return err
+				}
+			}
+			done, err := logsTo(out.logs)
+			if err != nil {
+				return err
+			}
+			defer done()
+			r, err := virtual.Play(s, opt)
+			if err != nil {
+				return err
+			}
+			return out.give(r)
+		},
+	}
+	c.Flags().StringVar(&fleet, "fleet", "", "`script` whose fleet, clients' ways and faults are played")
+	c.MarkFlagRequired("fleet")
+	c.Flags().StringVar(&flows, "flows", "", "write the clients to this `file`")
+	c.Flags().DurationVar(&from, "from", 0, "moment of the captures at which the script begins; captures of play and live\nbegin 3s before it")
+	c.Flags().Uint64Var(&opt.Seed, "seed", 0, "seed in place of the script's own")
+	c.Flags().Uint64Var(&opt.NodeSeed, "node-seed", 0, "another seed for the nodes' own chance")
+	out.flags(c)
+	return c
+}
+
+func readCaptures(paths []string) (all []*capture.Capture, err error) {
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		c, err := capture.Read(f)
+		f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/cmd/rehearse/report.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"coursewinch/report"
+	"coursewinch/rules"
+	"coursewinch/scenario"
+	"coursewinch/virtual"
+)
+
+func reportCommand() *cobra.Command {
+	var opt virtual.Options
+	var to string
+	c := &cobra.Command{
+		Use:     "report SCRIPT",
+		Short:   "Play a script in virtual time and write a page with plots that opens without a network",
+		Example: "  rehearse report zone-cut --to zone-cut.html",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := scenario.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := logsTo(""); err != nil {
+				return err
+			}
+			r, err := virtual.Play(s, opt)
+			if err != nil {
+				return err
+			}
+			if to == "" {
+				to = s.Name + ".html"
+			}
+			f, err := os.Create(to)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			if err := report.HTML(f, r, rules.Check(r)); err != nil {
+				return err
+			}
+			fmt.Println("written:", to)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&to, "to", "", "the page's `file`; the script's name with .html without")
+	c.Flags().Uint64Var(&opt.Seed, "seed", 0, "seed in place of the script's own")
+	return c
+}
--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"coursewinch/record"
+	"coursewinch/scenario"
 )
 
 type wishState uint8
@@ -20,21 +21,22 @@
 
 // wish is one client that wants a connection from start to end, whatever breaks meanwhile.
 type wish struct {
-	w       *World
-	no      uint64
-	own     *rand.Rand // for what befalls it
-	life    *rand.Rand // for what it is
-	typ     int
-	zone    int
-	group   int
-	key     string
-	usual   float64 // its load, about which it changes
-	load    float64
-	start   int64
-	end     int64
-	byHost  bool // its host ends it
-	looping bool
-	window  int // of a bulk client
+	w        *World
+	no       uint64
+	own      *rand.Rand // for what befalls it
+	life     *rand.Rand // for what it is
+	typ      int
+	zone     int
+	group    string
+	key      string
+	usual    float64 // its load, about which it changes
+	load     float64
+	start    int64
+	end      int64
+	byHost   bool // its host ends it
+	looping  bool
+	recorded bool // its load changes as a capture has it
+	window   int  // of a bulk client
 
 	state   wishState
 	tries   int // in a row without success
@@ -89,7 +91,7 @@
 	d := w.s.Demand
 	if d.Flows != "" {
 		for _, f := range w.s.Recorded {
-			w.At(f.At.Us(), func() { w.comeRecorded(f.Type, f.Zone, f.Group, f.Key, f.Load, f.Life.Us()) })
+			w.At(f.At.Us(), func() { w.comeRecorded(f) })
 		}
 	} else if d.Rate > 0 {
 		w.At(w.nextArrival(0), w.arrive)
@@ -164,7 +166,7 @@
 func (w *World) newWish(typ, zone int) *wish {
 	w.crowds++
 	no := w.crowds
-	p := &wish{w: w, no: no, typ: typ, zone: zone, group: -1, start: w.now,
+	p := &wish{w: w, no: no, typ: typ, zone: zone, start: w.now,
 		own:  rand.New(rand.NewPCG(w.seed, uint64(forWishes)+2*no)),
 		life: rand.New(rand.NewPCG(w.seed, uint64(forWishes)+2*no+1))}
 	p.key = fmt.Sprintf("%016x", p.life.Uint64())
@@ -186,18 +188,33 @@
 	p.end = w.now + int64(float64(w.s.Demand.Life)*t.Life*spread(p.life, f.LifeSpread))
 	p.byHost = p.life.IntN(2) == 0
 	if f.Groups > 0 {
-		p.group = int(float64(f.Groups) * math.Pow(p.life.Float64(), 1.6)) // some are larger than others
+		p.group = fmt.Sprintf("g%d", int(float64(f.Groups)*math.Pow(p.life.Float64(), 1.6))) // some are larger than others
 	}
 	p.begin()
 }
 
-func (w *World) comeRecorded(typ, zone, group int, key string, load float64, life int64) {
-	p := w.newWish(typ, zone)
-	p.group, p.usual, p.end = group, load, w.now+life
-	if key != "" {
-		p.key = key
+// comeRecorded is a client of a capture: its load changes as it did then.
+func (w *World) comeRecorded(r scenario.Recorded) {
+	p := w.newWish(r.Type, r.Zone)
+	p.group, p.usual, p.end, p.recorded = r.Group, r.Loads[0].Load, w.now+r.Life.Us(), true
+	if r.Key != "" {
+		p.key = r.Key
 	}
 	p.begin()
+	for _, l := range r.Loads[1:] {
+		w.after(l.After.Us(), func() { p.weigh(l.Load) })
+	}
+}
+
+// weigh sets the client's load, wherever it stands.
+func (p *wish) weigh(load float64) {
+	if p.state == over {
+		return
+	}
+	p.load = load
+	if p.hostCn != nil {
+		p.host.changed(p.hostCn)
+	}
 }
 
 // drawZone is by nodes' number and the script's weights.
@@ -254,7 +271,7 @@
 	}
 	w.run.Counts.Wishes++
 	w.At(p.end, p.finish)
-	if p.window == 0 && !p.looping {
+	if p.window == 0 && !p.looping && !p.recorded {
 		p.vary()
 	}
 	p.ask()
@@ -272,14 +289,10 @@
 		return
 	}
 	p.w.At(at, func() {
-		if p.state == over {
-			return
+		if p.state != over {
+			p.weigh(load)
+			p.vary()
 		}
-		p.load = load
-		if p.hostCn != nil {
-			p.host.changed(p.hostCn)
-		}
-		p.vary()
 	})
 }
 
@@ -390,8 +403,8 @@
 	w, f := p.w, p.flow
 	var b strings.Builder
 	fmt.Fprintf(&b, "OPEN %s %s c=%s,d=%d", f.ID, f.Key, w.s.Types[p.typ].Name, f.Timeout/1000)
-	if p.group >= 0 {
-		fmt.Fprintf(&b, ",g=g%d", p.group)
+	if p.group != "" {
+		fmt.Fprintf(&b, ",g=%s", p.group)
 	}
 	if p.retry {
 		b.WriteString(",r=1")
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -59,7 +59,7 @@
 
 	flows  []*seat     // that stand here
 	conns  []*hostConn // all that are open
-	groups map[int]int
+	groups map[string]int
 	held   []float64 // clients that think they stand here, by type
 	sentTo []int64   // when connects came of late, while cold
 	pushed float64   // the most that it was sent, of what it could do
@@ -419,8 +419,8 @@
 }
 
 // join counts a group's flows here; each group that has any costs its share of work.
-func (h *host) join(group, by int) {
-	if group < 0 {
+func (h *host) join(group string, by int) {
+	if group == "" {
 		return
 	}
 	cost := h.w.s.Fleet.GroupCost * h.w.usual()
@@ -508,7 +508,7 @@
 		}
 	}
 	h.queue, h.inWork, h.backlog, h.load, h.busy = nil, nil, 0, 0, 0
-	h.groups = map[int]int{}
+	h.groups = map[string]int{}
 	h.plan()
 }
 
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -121,7 +121,7 @@
 			no := len(w.hosts)
 			h := &host{w: w, no: no, uid: fmt.Sprintf("h-%d", no), addr: fmt.Sprintf("host-%d", no), kind: g.Kind,
 				zone: no % len(w.s.Zones), cores: g.Cores, speed: g.Speed * (0.95 + 0.1*chance.Float64()), slow: 1,
-				groups: map[int]int{}, held: make([]float64, len(w.s.Types)), listed: "ready"}
+				groups: map[string]int{}, held: make([]float64, len(w.s.Types)), listed: "ready"}
 			if g.Zone != "" {
 				h.zone = w.zoneNo(g.Zone)
 			}
--- a/live/live.go
+++ b/live/live.go
@@ -27,9 +27,9 @@
 // Options are what a run may have besides its script.
 type Options struct {
 	Seed    uint64
-	Program string                              // of the node
-	Logs    string                              // folder for the nodes' logs; empty: a temporary one
-	Run     func(no int, env []string) []string // more of a node's environment
+	Program string // of the node
+	Logs    string // folder for the nodes' logs; empty: a temporary one
+	Capture string // folder for captures; empty: none are written
 }
 
 // player is the Nodes of a run. Its fields but for in belong to the goroutine that plays the world.
--- a/live/process.go
+++ b/live/process.go
@@ -6,8 +6,10 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -50,7 +52,7 @@
 // Start writes a node's file and starts its process.
 func (p *player) Start(no int, conf fleet.Conf) {
 	n := p.nodes[no]
-	if err := os.WriteFile(n.conf, []byte(conf.JSON), 0o600); err != nil {
+	if err := os.WriteFile(n.conf, n.text(conf), 0o600); err != nil {
 		p.fail(err)
 		return
 	}
@@ -63,9 +65,6 @@
 	n.cmd = exec.Command(p.opt.Program)
 	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+n.conf, "GW_NAME="+conf.Name, "GW_LISTEN="+conf.Listen,
 		"GW_DISCOVERY="+conf.Discovery)
-	if p.opt.Run != nil {
-		n.cmd.Env = p.opt.Run(no, n.cmd.Env)
-	}
 	n.cmd.Stdout, n.cmd.Stderr = out, out
 	if err := n.cmd.Start(); err != nil {
 		p.fail(err)
@@ -94,6 +93,15 @@
 	n.starve()
 }
 
+// text is the node's file; each of its lives has a capture of its own.
+func (n *process) text(conf fleet.Conf) []byte {
+	if n.p.opt.Capture == "" {
+		return []byte(conf.JSON)
+	}
+	file := filepath.Join(n.p.opt.Capture, fmt.Sprintf("n-%d.%d.capture", n.no, n.life))
+	return fmt.Appendf(nil, `%s,"capture":{"file":%q}}`, strings.TrimSuffix(conf.JSON, "}"), file)
+}
+
 // await waits for the process to listen.
 func (n *process) await(gone chan struct{}, then func()) {
 	for {
@@ -138,7 +146,7 @@
 
 func (p *player) Reload(no int, conf fleet.Conf) {
 	n := p.nodes[no]
-	if err := os.WriteFile(n.conf+".new", []byte(conf.JSON), 0o600); err != nil {
+	if err := os.WriteFile(n.conf+".new", n.text(conf), 0o600); err != nil {
 		p.fail(err)
 		return
 	}
--- a/node/flows.go
+++ b/node/flows.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"coursewinch/balance"
+	"coursewinch/capture"
 	"coursewinch/lines"
 )
 
@@ -84,6 +85,7 @@
 		wait = min(wait, most)
 	}
 	f := &flow{open: o, client: c}
+	n.look(f)
 	f.Flow = balance.Flow{Type: &n.set.Types[kind], TypeNo: kind, Hash: hash(o.Key), Again: o.Again, Hint: o.Hint,
 		Deadline: n.now + wait - answerSlack, Passed: n.set.Passes, Ref: f}
 	if n.stopAt > 0 {
@@ -98,6 +100,7 @@
 	}
 	if n.net.Room() < n.owed() {
 		n.Count.Crowded++
+		n.captureAnswer(f, capture.Rejected)
 		n.answer(c, "BUSY\r\n")
 		return
 	}
@@ -260,6 +263,7 @@
 	}
 	f.client.out.Put(line)
 	c.in.Drop(len(line))
+	n.captureAnswer(f, capture.Established)
 	f.stage, f.open = Established, nil
 	if f.group != nil {
 		f.group.stood = true
@@ -282,6 +286,7 @@
 		if !ok {
 			break
 		}
+		f.seen.passed(true)
 		if line != nil && f.askedAt == 0 {
 			f.askedAt = n.now
 			n.times.set(&f.timer, n.now+silence)
@@ -295,11 +300,13 @@
 		word, load := lines.Answer(line)
 		switch word {
 		case lines.Load:
+			n.captureLoad(f, load)
 			n.b.Load(&f.Flow, load)
 			continue
 		case lines.Bye, lines.Move:
 			f.last = word
 		}
+		f.seen.passed(false)
 		if f.askedAt > 0 {
 			f.host.took = append(f.host.took, n.now-f.askedAt)
 			f.askedAt = 0
@@ -344,10 +351,12 @@
 		case lines.Move:
 			end = balance.Recalled
 		}
+		f.seen.ended(ends[end])
 		n.finish(c, h.err)
 		n.close(h)
 		n.end(f, end)
 	case c.ended && (c.in.Len() == 0 || c.err != nil):
+		f.seen.ended(capture.Gone)
 		n.finish(h, c.err)
 		n.close(c)
 		n.end(f, balance.Recalled)
@@ -367,6 +376,7 @@
 // move tells a client to come again and ends both sides.
 func (n *Node) move(f *flow) {
 	n.Count.Moves++
+	f.seen.ended(capture.Moved)
 	if !f.client.midLine {
 		f.client.out.Put([]byte("MOVE\r\n"))
 	}
@@ -402,6 +412,7 @@
 // drop takes a flow out of the tables.
 func (n *Node) drop(f *flow) {
 	f.over = true
+	n.captureEnd(f)
 	n.unlink(f)
 	if g := f.group; g != nil {
 		if g.flows--; g.flows == 0 && !g.stood {
@@ -447,6 +458,7 @@
 func (n *Node) Reject(bf *balance.Flow, wait int64) {
 	f := bf.Ref.(*flow)
 	n.Count.Rejected++
+	n.captureAnswer(f, capture.Rejected)
 	n.drop(f)
 	if wait > 0 {
 		n.answer(f.client, "BUSY "+strconv.FormatInt(wait/ms, 10)+"\r\n")
@@ -458,6 +470,7 @@
 func (n *Node) Abort(bf *balance.Flow) {
 	f := bf.Ref.(*flow)
 	n.Count.Aborted++
+	n.captureAnswer(f, capture.Aborted)
 	n.drop(f)
 	n.answer(f.client, "ERR\r\n")
 }
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"math/rand"
 
 	"coursewinch/balance"
+	"coursewinch/capture"
 	"coursewinch/discovery"
 	"coursewinch/lines"
 	"coursewinch/settings"
@@ -51,6 +52,14 @@
 	Discovery string
 	Seed      int64
 	Decide    func(*settings.Settings, int64) Decider // nil: the decision module
+	Capture   Capture                                 // nil: none
+}
+
+// Capture takes what became of flows; it must not wait for anything.
+type Capture interface {
+	Flow(capture.Flow)
+	End(capture.End)
+	Load(capture.Load)
 }
 
 // Decider takes what comes in and writes its decisions to the writer given to Round, as package balance does. Another
@@ -148,6 +157,7 @@
 	last    lines.Word // the host's word of parting
 	askedAt int64      // the first line passed to the host that nothing came back for; 0 for none
 	timer   deadline
+	seen    *seen // for the capture; nil without one
 }
 
 // Node is one node.
@@ -173,6 +183,7 @@
 	mute, kept, going list.List // clients that ask nothing: without a whole line, after PONG, after the last line
 	room              deadline
 	logs              map[string]*kind
+	captured          uint64 // flows, for the capture
 
 	call    *conn // to discovery, without a list yet
 	watch   *conn // brings lists
--- a/record/record.go
+++ b/record/record.go
@@ -53,7 +53,7 @@
 	ID        string
 	Key       string
 	Type      int
-	Group     int // -1 without one
+	Group     string // empty without one
 	Node      int
 	Zone      int
 	Timeout   int64 // how long its client waits
--- /dev/null
+++ b/report/html.go
@@ -0,0 +1,197 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"coursewinch/record"
+	"coursewinch/rules"
+)
+
+// Colours are for lines side by side, easy to tell apart also for colour-blind eyes.
+var Colours = []color.RGBA{{0, 114, 178, 255}, {213, 94, 0, 255}, {0, 158, 115, 255}, {204, 121, 167, 255},
+	{86, 180, 233, 255}, {230, 159, 0, 255}, {90, 90, 90, 255}, {0, 0, 0, 255}}
+
+// Line is one named line of a plot; Y has a value a second.
+type Line struct {
+	Name string
+	Y    []float64
+}
+
+// SVG draws lines over seconds, as text that a page can hold.
+func SVG(title, y string, all []Line) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "second", y
+	p.Legend.Top = true
+	p.Y.Min = 0
+	for i, l := range all {
+		points := make(plotter.XYs, len(l.Y))
+		for x, v := range l.Y {
+			points[x].X, points[x].Y = float64(x), v
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		line.Color = Colours[i%len(Colours)]
+		line.Width = vg.Points(1.2)
+		if i >= len(Colours) {
+			line.Dashes = []vg.Length{vg.Points(3), vg.Points(2)}
+		}
+		p.Add(line)
+		p.Legend.Add(l.Name, line)
+	}
+	return Draw(p, 24*vg.Centimeter, 9*vg.Centimeter)
+}
+
+// Draw gives a plot as SVG text without the head of a file.
+func Draw(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
+	w, err := p.WriterTo(width, height, "svg")
+	if err != nil {
+		return "", err
+	}
+	var b bytes.Buffer
+	if _, err := w.WriteTo(&b); err != nil {
+		return "", err
+	}
+	text := b.Bytes()
+	if i := bytes.Index(text, []byte("<svg")); i > 0 {
+		text = text[i:]
+	}
+	return template.HTML(text), nil
+}
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Sum.Script}}</title>
+<style>body{font-family:sans-serif;max-width:62rem;margin:1rem auto;padding:0 1rem}table{border-collapse:collapse}
+td,th{padding:.2rem .7rem;text-align:right;border-bottom:1px solid #ccc}td:first-child,th:first-child{text-align:left}
+svg{max-width:100%;height:auto}pre{background:#f4f4f4;padding:.5rem;overflow:auto}.bad{color:#b00}</style></head><body>
+<h1>{{.Sum.Script}}, seed {{.Sum.Seed}}</h1>
+{{if .Sum.Void}}<p class="bad">Void: {{.Sum.Void}}</p>{{end}}
+<p>Service {{printf "%.3f" .Sum.Service}}, worst 10 s {{printf "%.3f" .Sum.Worst10}}, worst type {{printf "%.3f" .Sum.WorstType}};
+{{.Sum.Flows}} flows; a flow: {{printf "%.2f" .Sum.Connects}} connects, {{printf "%.2f" .Sum.Crossings}} crossings,
+{{printf "%.3f" .Sum.Moves}} moves; {{.Sum.Breaks}} breaks. Answers:{{range $k, $v := .Sum.Answers}} {{$k}} {{$v}}{{end}}.</p>
+<table><tr><th>service type</th><th>service</th><th>setup p50 ms</th><th>p99 ms</th><th>target ms</th><th>late</th></tr>
+{{range .Types}}<tr><td>{{.Name}}</td><td>{{printf "%.3f" .Service}}</td><td>{{printf "%.1f" .Setup.P50}}</td>
+<td>{{printf "%.1f" .Setup.P99}}</td><td>{{printf "%.0f" .Setup.Target}}</td><td>{{printf "%.2f" .Setup.Late}}</td></tr>{{end}}</table>
+{{range .Plots}}{{.}}{{end}}
+<h2>Rules</h2>{{if .Broken}}{{range .Broken}}<pre class="bad">{{.}}</pre>{{end}}{{else}}<p>All kept.</p>{{end}}
+</body></html>
+`))
+
+type typeRow struct {
+	Name    string
+	Service float64
+	Setup   Setup
+}
+
+// HTML writes a run as one page that opens without a network.
+func HTML(w io.Writer, r *record.Run, broken []rules.Breach) error {
+	sum := Of(r, broken)
+	data := struct {
+		Sum    Sum
+		Types  []typeRow
+		Plots  []template.HTML
+		Broken []string
+	}{Sum: sum}
+	for _, t := range r.Types {
+		data.Types = append(data.Types, typeRow{t.Name, sum.ByType[t.Name], sum.Setup[t.Name]})
+	}
+	for i, b := range broken {
+		if i == 20 {
+			data.Broken = append(data.Broken, fmt.Sprintf("and %d more", len(broken)-i))
+			break
+		}
+		data.Broken = append(data.Broken, b.Report(r))
+	}
+	for _, part := range []struct {
+		title, y string
+		lines    []Line
+	}{{"Service over time", "share of benefit", serviceLines(r)}, {"Load a host", "load over capacity", hostLines(r)},
+		{"Answers a second", "flows", answerLines(r)}} {
+		svg, err := SVG(part.title, part.y, part.lines)
+		if err != nil {
+			return err
+		}
+		data.Plots = append(data.Plots, svg)
+	}
+	return page.Execute(w, data)
+}
+
+func serviceLines(r *record.Run) []Line {
+	all := []Line{{Name: "all"}}
+	for _, t := range r.Types {
+		all = append(all, Line{Name: t.Name})
+	}
+	for _, s := range r.Seconds {
+		wanted, served := 0.0, 0.0
+		for t := range r.Types {
+			wanted, served = wanted+s.Wanted[t], served+s.Served[t]
+			all[t+1].Y = append(all[t+1].Y, share(s.Served[t], s.Wanted[t]))
+		}
+		all[0].Y = append(all[0].Y, share(served, wanted))
+	}
+	return all
+}
+
+func share(x, of float64) float64 {
+	if of == 0 {
+		return 1
+	}
+	return x / of
+}
+
+const mostHosts = 16 // lines of the plot; of more hosts, the most loaded
+
+func hostLines(r *record.Run) []Line {
+	var all []Line
+	for _, h := range r.Hosts {
+		load := make([]float64, len(h.Load))
+		for i, v := range h.Load {
+			load[i] = min(v, 3)
+		}
+		if len(load) > 0 {
+			all = append(all, Line{h.Name, load})
+		}
+	}
+	if len(all) > mostHosts {
+		slices.SortStableFunc(all, func(x, y Line) int {
+			if slices.Max(x.Y) > slices.Max(y.Y) {
+				return -1
+			}
+			return 1
+		})
+		all = all[:mostHosts]
+	}
+	return all
+}
+
+func answerLines(r *record.Run) []Line {
+	by := map[string][]float64{}
+	for _, f := range r.Flows {
+		word, at := f.Answer()
+		second := int(at / 1e6)
+		if at < 0 || second > int(r.Length/1e6) {
+			continue
+		}
+		if by[word] == nil {
+			by[word] = make([]float64, r.Length/1e6+1)
+		}
+		by[word][second]++
+	}
+	var all []Line
+	for _, word := range answerWords {
+		if y := by[word]; y != nil {
+			all = append(all, Line{word, y})
+		}
+	}
+	return all
+}
--- a/scenario/read.go
+++ b/scenario/read.go
@@ -109,6 +109,7 @@
 	}
 	s.fill()
 	s.check(f)
+	s.readFlows(f)
 	if len(f.all) > 0 {
 		slices.SortStableFunc(f.all, func(x, y place) int { return x.line - y.line })
 		return nil, f
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -64,12 +64,18 @@
 	At    Span
 	Type  int
 	Zone  int
-	Group int // -1 without one
+	Group string // empty without one
 	Key   string
-	Load  float64
+	Loads []Step // the first holds from the start on
 	Life  Span
 }
 
+// Step is a load from a moment of a client's life on.
+type Step struct {
+	After Span
+	Load  float64
+}
+
 // Network is the ways between machines; one way each.
 type Network struct {
 	Same   Span    `toml:"same"`   // within a zone
--- /dev/null
+++ b/trial/text.go
@@ -0,0 +1,46 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Text writes an experiment as a table a script.
+func Text(w io.Writer, cells []Cell, seeds int) {
+	width := 8
+	for _, c := range cells {
+		width = max(width, len(c.Variant))
+	}
+	script := ""
+	for _, c := range cells {
+		if c.Script != script {
+			script = c.Script
+			fmt.Fprintf(w, "\n%s, %d seeds\n  %-*s %8s %26s %9s %9s %9s %9s %7s %7s %8s  %s\n", script, seeds, width, "",
+				"service", "difference (95 %)", "worst10s", "wrst type", "connects", "crossings", "moves", "breaks", "rejected", "rules broken")
+		}
+		diff := ""
+		if d, ok := c.Diff["service"]; ok {
+			diff = fmt.Sprintf("%+.3f (%+.3f to %+.3f)", d.Mean, d.Low, d.High)
+		}
+		fmt.Fprintf(w, "  %-*s %8.3f %26s %9.3f %9.3f %9.2f %9.2f %7.3f %7.3f %8.3f  %s\n", width, c.Variant, c.Mean["service"],
+			diff, c.Mean["worst_10s"], c.Mean["worst_type"], c.Mean["connects"], c.Mean["crossings"], c.Mean["moves"],
+			c.Mean["breaks"], c.Mean["rejected"], broken(c))
+	}
+}
+
+func broken(c Cell) string {
+	var names []string
+	for rule := range c.Breaches {
+		names = append(names, rule)
+	}
+	slices.Sort(names)
+	text := ""
+	for i, rule := range names {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s %d", rule, c.Breaches[rule])
+	}
+	return text
+}
--- /dev/null
+++ b/trial/trial.go
@@ -0,0 +1,239 @@
+// Package trial plays scripts over many seeds with several builds, settings or baselines, paired by seed, and says by
+// how much they differ and how sure that is.
+package trial
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"gonum.org/v1/gonum/stat"
+
+	"coursewinch/baseline"
+	"coursewinch/report"
+	"coursewinch/rules"
+	"coursewinch/scenario"
+	"coursewinch/virtual"
+)
+
+// Variant is one of what is compared.
+type Variant struct {
+	Name    string
+	Base    string   // a baseline in place of the module
+	Program string   // another build of rehearse
+	Changes []string // of the script, KEY=VALUE
+}
+
+// ParseVariant reads module, baseline:NAME, build:PROGRAM or set:KEY=VALUE[;KEY=VALUE]; a name and @ may stand before.
+func ParseVariant(text string) (Variant, error) {
+	v := Variant{Name: text}
+	if name, rest, ok := strings.Cut(text, "@"); ok && name != "" && !strings.ContainsAny(name, ":=/") {
+		v.Name, text = name, rest
+	}
+	kind, rest, _ := strings.Cut(text, ":")
+	switch {
+	case text == "module":
+	case kind == "baseline":
+		if _, err := baseline.New(rest); err != nil {
+			return v, err
+		}
+		v.Base = rest
+	case kind == "build":
+		if _, err := os.Stat(rest); err != nil {
+			return v, err
+		}
+		v.Program = rest
+	case kind == "set" && rest != "":
+		v.Changes = strings.Split(rest, ";")
+	default:
+		return v, fmt.Errorf("variant %q: module, baseline:NAME, build:PROGRAM or set:KEY=VALUE", text)
+	}
+	return v, nil
+}
+
+// play plays one script once.
+func (v Variant) play(script string, seed uint64) (report.Sum, error) {
+	if v.Program != "" {
+		return v.playBuild(script, seed)
+	}
+	s, err := scenario.LoadWith(script, v.Changes)
+	if err != nil {
+		return report.Sum{}, err
+	}
+	opt := virtual.Options{Seed: seed}
+	if v.Base != "" {
+		if opt.Decide, err = baseline.New(v.Base); err != nil {
+			return report.Sum{}, err
+		}
+	}
+	r, err := virtual.Play(s, opt)
+	if err != nil {
+		return report.Sum{}, err
+	}
+	return report.Of(r, rules.Check(r)), nil
+}
+
+// playBuild asks another build; a broken rule (exit code 2) still has figures.
+func (v Variant) playBuild(script string, seed uint64) (sum report.Sum, err error) {
+	c := exec.Command(v.Program, "play", script, "--json", "--seed", strconv.FormatUint(seed, 10))
+	var out, bad bytes.Buffer
+	c.Stdout, c.Stderr = &out, &bad
+	runErr := c.Run()
+	if err := json.Unmarshal(out.Bytes(), &sum); err != nil {
+		return sum, fmt.Errorf("%s: %w: %s", v.Program, errors.Join(runErr, err), strings.TrimSpace(bad.String()))
+	}
+	return sum, nil
+}
+
+// Plan is an experiment. The first variant is what the others are compared with.
+type Plan struct {
+	Scripts  []string
+	Variants []Variant
+	Seeds    int
+	First    uint64 // seed
+	Workers  int    // 0: one a core
+	Progress func(done, all int)
+}
+
+// Cell is a variant on a script, over all seeds.
+type Cell struct {
+	Script   string                  `json:"script"`
+	Variant  string                  `json:"variant"`
+	Runs     []report.Sum            `json:"-"`
+	Mean     map[string]float64      `json:"mean"`
+	Diff     map[string]Interval     `json:"diff,omitempty"` // from the first variant
+	Breaches map[string]int          `json:"breaches"`
+	Setup    map[string]report.Setup `json:"setup"` // means over the seeds
+}
+
+// Interval is a mean difference and where it lies with 95 % confidence, by bootstrap over the seeds.
+type Interval struct {
+	Mean float64 `json:"mean"`
+	Low  float64 `json:"low"`
+	High float64 `json:"high"`
+}
+
+// Metrics are what is compared, in order.
+var Metrics = []string{"service", "worst_10s", "worst_type", "connects", "crossings", "moves", "breaks", "rejected"}
+
+func metrics(s report.Sum) map[string]float64 {
+	n := float64(max(s.Flows, 1))
+	return map[string]float64{"service": s.Service, "worst_10s": s.Worst10, "worst_type": s.WorstType, "connects": s.Connects,
+		"crossings": s.Crossings, "moves": s.Moves, "breaks": float64(s.Breaks) / n,
+		"rejected": float64(s.Answers["rejected"]+s.Answers["aborted"]) / n}
+}
+
+// Run plays the plan, in parallel over cores. The result does not depend on how many.
+func (p Plan) Run() ([]Cell, error) {
+	cells := make([]Cell, 0, len(p.Scripts)*len(p.Variants))
+	for _, s := range p.Scripts {
+		for _, v := range p.Variants {
+			cells = append(cells, Cell{Script: s, Variant: v.Name, Runs: make([]report.Sum, p.Seeds)})
+		}
+	}
+	workers := p.Workers
+	if workers == 0 {
+		workers = runtime.NumCPU()
+	}
+	type job struct{ cell, seed int }
+	jobs := make(chan job)
+	var mu sync.Mutex
+	var failed error
+	var wg sync.WaitGroup
+	done := 0
+	for range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := range jobs {
+				sum, err := p.Variants[j.cell%len(p.Variants)].play(cells[j.cell].Script, p.First+uint64(j.seed))
+				mu.Lock()
+				cells[j.cell].Runs[j.seed] = sum
+				if failed == nil && err != nil {
+					failed = fmt.Errorf("%s on %s: %w", cells[j.cell].Variant, cells[j.cell].Script, err)
+				}
+				done++
+				if p.Progress != nil {
+					p.Progress(done, len(cells)*p.Seeds)
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for seed := range p.Seeds { // all variants of a seed early, so that what fails fails soon
+		for c := range cells {
+			mu.Lock()
+			stop := failed != nil
+			mu.Unlock()
+			if !stop {
+				jobs <- job{c, seed}
+			}
+		}
+	}
+	close(jobs)
+	wg.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	for i := range cells {
+		cells[i].sum(&cells[i-i%len(p.Variants)])
+	}
+	return cells, nil
+}
+
+// sum computes a cell's means and its differences from the first variant on the same script.
+func (c *Cell) sum(first *Cell) {
+	c.Mean, c.Breaches, c.Setup = map[string]float64{}, map[string]int{}, map[string]report.Setup{}
+	n := float64(len(c.Runs))
+	for _, r := range c.Runs {
+		for rule, count := range r.Breaches {
+			c.Breaches[rule] += count
+		}
+		for name, u := range r.Setup {
+			m := c.Setup[name]
+			c.Setup[name] = report.Setup{P50: m.P50 + u.P50/n, P99: m.P99 + u.P99/n, Target: u.Target, Late: m.Late + u.Late/n}
+		}
+	}
+	if c != first {
+		c.Diff = map[string]Interval{}
+	}
+	for _, name := range Metrics {
+		var values, diffs []float64
+		for i, r := range c.Runs {
+			v := metrics(r)[name]
+			values = append(values, v)
+			diffs = append(diffs, v-metrics(first.Runs[i])[name])
+		}
+		c.Mean[name] = stat.Mean(values, nil)
+		if c != first {
+			c.Diff[name] = Bootstrap(diffs)
+		}
+	}
+}
+
+const resamples = 2000
+
+// Bootstrap gives the mean and its 95 % interval. The same values give the same interval.
+func Bootstrap(values []float64) Interval {
+	rng := rand.New(rand.NewPCG(1, uint64(len(values))))
+	means := make([]float64, resamples)
+	again := make([]float64, len(values))
+	for i := range means {
+		for j := range again {
+			again[j] = values[rng.IntN(len(values))]
+		}
+		means[i] = stat.Mean(again, nil)
+	}
+	slices.Sort(means)
+	return Interval{stat.Mean(values, nil), stat.Quantile(0.025, stat.Empirical, means, nil),
+		stat.Quantile(0.975, stat.Empirical, means, nil)}
+}
--- a/virtual/virtual.go
+++ b/virtual/virtual.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"syscall"
 
+	"coursewinch/capture"
 	"coursewinch/discovery"
 	"coursewinch/fleet"
 	"coursewinch/lines"
@@ -16,19 +18,22 @@
 )
 
 const (
-	epoch  = int64(1_700_000_000_000_000) // the time of day at the start of a run, microseconds
-	lead   = int64(3_000_000)             // before the first client, as in live play: nodes have probed idle hosts by then
-	leastT = int64(1)                     // of a turn: guards against a node that asks for now, again and again
-	poll   = int64(1000)                  // the loop's waits are whole milliseconds
-	others = 16                           // descriptors of a process besides its sockets
+	epoch       = int64(1_700_000_000_000_000) // the time of day at the start of a run, microseconds
+	lead        = int64(3_000_000)             // before the first client, as in live play: nodes have probed idle hosts by then
+	leastT      = int64(1)                     // of a turn: guards against a node that asks for now, again and again
+	poll        = int64(1000)                  // the loop's waits are whole milliseconds
+	mostCapture = 1 << 30
+	others      = 16 // descriptors of a process besides its sockets
 )
 
 // Options are what a run may have besides its script.
 type Options struct {
-	Seed   uint64                                               // 0: the script's
-	Decide func(*settings.Settings, int64) node.Decider         // nil: the decision module
-	Watch  func(at int64, w *fleet.World)                       // called every virtual second
-	Tune   func(no int, set *settings.Settings, c *node.Config) // before a node is made
+	Seed     uint64                                               // 0: the script's
+	Capture  string                                               // folder for captures; empty: none are written
+	NodeSeed uint64                                               // changes the nodes' own chance and nothing else
+	Decide   func(*settings.Settings, int64) node.Decider         // nil: the decision module
+	Watch    func(at int64, w *fleet.World)                       // called every virtual second
+	Tune     func(no int, set *settings.Settings, c *node.Config) // before a node is made
 }
 
 // player is the Nodes of a run.
@@ -86,6 +91,7 @@
 	cost    float64 // of this turn so far
 	stop    bool
 	follow  string
+	capture *capture.Writer
 }
 
 type what uint8
@@ -132,7 +138,17 @@
 		return
 	}
 	v.clear()
+	conf.Seed ^= p.opt.NodeSeed * 0x9e3779b97f4a7c15
 	c := node.Config{Discovery: conf.Discovery, Seed: int64(conf.Seed >> 1), Decide: p.opt.Decide}
+	if p.opt.Capture != "" {
+		file := filepath.Join(p.opt.Capture, fmt.Sprintf("n-%d.%d.capture", no, v.life))
+		w, err := capture.Create(file, mostCapture, capture.Start{Node: conf.Name, Zone: set.Zone, At: epoch + p.w.Now()})
+		if err != nil {
+			p.fail(err)
+			return
+		}
+		v.capture, c.Capture = w, w
+	}
 	if p.opt.Tune != nil {
 		p.opt.Tune(no, set, &c)
 	}
@@ -210,6 +226,10 @@
 }
 
 func (v *vnode) tally() {
+	if v.capture != nil {
+		v.capture.Close()
+		v.capture = nil
+	}
 	if v.n != nil {
 		v.p.count.Panics += v.n.Count.Panics
 	}
