--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -379,6 +380,7 @@
 	p.toHost, p.toSelf, p.live = owed{}, owed{}, false
 	n.flows = append(n.flows, p)
 	p.conn = w.open(p, n.no, nil)
+	p.conn.asked = f
 	p.gen++
 	gen := p.gen
 	w.after(f.Timeout, func() { // also when not even the connection came up
@@ -617,12 +619,27 @@
 			c.flow.Add(record.Event{At: w.now, Kind: record.Held, Host: c.Host, Try: c.try, Text: "to the host", Value: held})
 		}
 	case c.Host < 0:
+		w.seconds(c, p)
 		if q, ok := c.peer.(*wish); ok && q.conn == c {
 			q.given(p)
 		}
 	}
 }
 
+// seconds notes what a node sends a client after a final answer that was not UP.
+func (w *World) seconds(c *Conn, p []byte) {
+	if c.asked == nil || bytes.HasPrefix(p, []byte("UP ")) && !c.final || c.wasUp {
+		c.wasUp = true
+		return
+	}
+	for _, line := range bytes.Split(bytes.TrimSuffix(p, []byte("\n")), []byte("\n")) {
+		if c.final {
+			c.asked.Add(record.Event{At: w.now, Kind: record.Answered, Host: -1, Text: string(line)})
+		}
+		c.final = true
+	}
+}
+
 // connect notes that a flow's line leaves for a host.
 func (w *World) connect(c *Conn, p []byte) {
 	rest, ok := strings.CutPrefix(string(p), "OPEN ")
--- a/fleet/discovery.go
+++ b/fleet/discovery.go
@@ -68,6 +68,7 @@
 }
 
 func (d *discovery) accepted(c *Conn) {
+	d.w.nodes[c.Node].askedAt = d.w.now
 	t := &watch{c: c, target: c.Addr}
 	c.state = t
 	d.watches = append(d.watches, t)
@@ -83,6 +84,7 @@
 
 func (d *discovery) forget(t *watch) {
 	t.done = true
+	d.w.nodes[t.c.Node].askedAt = d.w.now
 	d.watches = slices.DeleteFunc(d.watches, func(o *watch) bool { return o == t })
 }
 
@@ -179,6 +181,26 @@
 	}
 }
 
+const askWithin = 6 * second // what the nodes' settings say
+
+// deem tells nodes that have neither watched nor asked for so long what they could have heard.
+func (w *World) deem() {
+	watching := map[int]bool{}
+	for _, t := range w.disc.watches {
+		watching[t.c.Node] = true
+	}
+	for _, n := range w.nodes {
+		if !n.running || watching[n.no] || w.now-n.askedAt < askWithin {
+			continue
+		}
+		for _, e := range w.disc.now {
+			if e.state != "" && e != n.view[e.host] {
+				w.tellOne(n, e, false)
+			}
+		}
+	}
+}
+
 // list is a list in discovery's form, as one node sees it.
 func (w *World) list(node int, rev int64, told []entry, all bool) string {
 	var b strings.Builder
--- a/fleet/net.go
+++ b/fleet/net.go
@@ -44,6 +44,9 @@
 	try   int
 	spoke bool // the node has sent something
 	early []func()
+	asked *record.Flow // whose client's it is
+	wasUp bool         // the node has sent it UP
+	final bool         // the node has refused or failed it here
 
 	run      int // of the node, counted from its first start
 	peer     peer
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -42,7 +42,8 @@
 	conns     []*Conn
 	view      []entry // of hosts, as it was told last
 	rev       int64
-	reload    int // which address of discovery it has
+	askedAt   int64 // when it last asked discovery, or had a watch
+	reload    int   // which address of discovery it has
 	starve    []float64
 	flows     []*wish // whose client waits for an answer or has one here
 }
@@ -194,6 +195,7 @@
 
 func (w *World) discoveryBeat() {
 	w.disc.beat()
+	w.deem()
 	w.after(w.s.Discovery.Period.Us(), w.discoveryBeat)
 }
 
@@ -309,10 +311,10 @@
 	}
 	return fmt.Sprintf(`{"Balancers":%d,"Index":%d,"MyZone":%d,"Localities":[%s],"Discovery":"on_request",`+
 		`"Limits":{"MaxConnects":%d,"MaxRetryAfterMs":%g,"Probing":%t,"RetryAfter":%t,"DialTimeoutMs":%g},`+
-		`"Obligations":{"AskWithinMs":6000,"ColdFrom":%g,"ColdMs":%g,"FallMultiple":%g},"ServiceTypes":[%s],`+
+		`"Obligations":{"AskWithinMs":%d,"ColdFrom":%g,"ColdMs":%g,"FallMultiple":%g},"ServiceTypes":[%s],`+
 		`"Specifics":{"Groups":%t,"Mode":"proxy","MessageAimMs":[%s],"TellsDelay":false}}`,
 		len(w.nodes), n.no, n.zone, strings.Join(zones, ","), s.Node.MaxConnects, float64(s.Node.MaxWait)/1000, s.Node.Probing,
-		s.Node.MaxWait > 0, float64(s.Node.Dial)/1000, s.Fleet.Cold, float64(s.Fleet.ColdTime)/1000, s.Fleet.Multiple,
+		s.Node.MaxWait > 0, float64(s.Node.Dial)/1000, askWithin/1000, s.Fleet.Cold, float64(s.Fleet.ColdTime)/1000, s.Fleet.Multiple,
 		strings.Join(types, ","), s.Fleet.Groups > 0, strings.Join(aims, ","))
 }
 
@@ -320,7 +322,7 @@
 func (w *World) startNode(no int) {
 	n := w.nodes[no]
 	n.run++
-	n.running, n.listening, n.stopping = true, false, false
+	n.running, n.listening, n.stopping, n.askedAt = true, false, false, w.now
 	if n.run > 1 {
 		for _, e := range n.view {
 			if e.state != "" {
