--- a/cmd/rehearse/experiment.go
+++ b/cmd/rehearse/experiment.go
@@ -14,7 +14,7 @@
 func experimentCommand() *cobra.Command {
 	var variants []string
 	var html string
-	var asJSON bool
+	var asJSON, quiet bool
 	plan := trial.Plan{First: 1}
 	c := &cobra.Command{
 		Use:   "experiment SCRIPT...",
@@ -50,10 +50,10 @@
 				return fmt.Errorf("%d seeds: one at least", plan.Seeds)
 			}
 			plan.Progress = func(done, all int) {
-				if step := max(all/20, 1); done%step == 0 || done == all {
+				if step := max(all/20, 1); !quiet && (done%step == 0 || done == all) {
 					fmt.Fprintf(os.Stderr, "\r%d of %d runs", done, all)
 				}
-				if done == all {
+				if done == all && !quiet {
 					fmt.Fprintln(os.Stderr)
 				}
 			}
@@ -85,6 +85,7 @@
 	c.Flags().IntVar(&plan.Seeds, "seeds", 20, "seeds a script and variant")
 	c.Flags().Uint64Var(&plan.First, "first-seed", 1, "the first of them")
 	c.Flags().IntVar(&plan.Workers, "workers", 0, "runs at once; 0 for one a core")
+	c.Flags().BoolVar(&quiet, "quiet", false, "tell no progress")
 	c.Flags().StringVar(&html, "html", "", "write a page with plots to this `file`")
 	c.Flags().BoolVar(&asJSON, "json", false, "print figures as JSON")
 	return c
--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -36,8 +36,9 @@
 	end      int64
 	byHost   bool // its host ends it
 	looping  bool
-	recorded bool // its load changes as a capture has it
-	window   int  // of a bulk client
+	at       *host // that held its flow before the run; until its first answer
+	recorded bool  // its load changes as a capture has it
+	window   int   // of a bulk client
 
 	state   wishState
 	tries   int // in a row without success
@@ -97,6 +98,9 @@
 	} else if d.Rate > 0 {
 		w.At(w.nextArrival(0), w.arrive)
 	}
+	if d.Stand > 0 {
+		w.At(-standBefore, w.stand)
+	}
 	for _, l := range d.Loops {
 		for range l.Count {
 			w.crowd(l.At.Us(), l.For.Us(), l.Type, l.Zone, true, 0)
@@ -112,6 +116,43 @@
 	}
 }
 
+const (
+	standBefore = second      // the start: the flows that stood before come
+	standWait   = 30 * second // they wait for so long
+)
+
+// stand brings the clients whose flows stood before the run: each at the host that holds it, and partly through.
+func (w *World) stand() {
+	d, f := w.s.Demand, w.s.Fleet
+	shares, lives := 0.0, 0.0
+	for _, t := range w.s.Types {
+		shares += t.Share
+		lives += t.Share * t.Life
+	}
+	weights, total := make([]float64, len(w.hosts)), 0.0
+	for i, h := range w.hosts {
+		if h.state == running {
+			weights[i] = h.full() * spread(w.demand, d.Tilt)
+		}
+		total += weights[i]
+	}
+	for range int(d.Stand*d.Rate*w.times(0)*d.Life.Seconds()*lives/shares + 0.5) {
+		p := w.draw(func(t scenario.Type) float64 { return t.Share * t.Life })
+		longer := math.Exp(f.LifeSpread * f.LifeSpread) // one met at some moment is a long one
+		p.end = int64(float64(p.end-w.now) * longer * p.life.Float64())
+		x := w.demand.Float64() * total
+		for i, h := range w.hosts {
+			if x -= weights[i]; x < 0 {
+				p.at = h
+				break
+			}
+		}
+		if p.end > 0 && p.at != nil {
+			p.begin()
+		}
+	}
+}
+
 // times is by how much the rate is multiplied at a moment.
 func (w *World) times(at int64) float64 {
 	waves := w.s.Demand.Waves
@@ -174,14 +215,19 @@
 	return p
 }
 
-// come is a new client, drawn by the script's figures.
+// come is a new client.
 func (w *World) come() {
+	w.draw(func(t scenario.Type) float64 { return t.Share }).begin()
+}
+
+// draw makes a client by the script's figures; its type goes by weight.
+func (w *World) draw(weight func(scenario.Type) float64) *wish {
 	total, pick := 0.0, 0
 	for _, t := range w.s.Types {
-		total += t.Share
+		total += weight(t)
 	}
-	for x := w.demand.Float64() * total; pick < len(w.s.Types)-1 && x >= w.s.Types[pick].Share; pick++ {
-		x -= w.s.Types[pick].Share
+	for x := w.demand.Float64() * total; pick < len(w.s.Types)-1 && x >= weight(w.s.Types[pick]); pick++ {
+		x -= weight(w.s.Types[pick])
 	}
 	p := w.newWish(pick, w.drawZone())
 	t, f := w.s.Types[pick], w.s.Fleet
@@ -191,7 +237,7 @@
 	if f.Groups > 0 {
 		p.group = fmt.Sprintf("g%d", int(float64(f.Groups)*math.Pow(p.life.Float64(), 1.6))) // some are larger than others
 	}
-	p.begin()
+	return p
 }
 
 // comeRecorded is a client of a capture: its load changes as it did then.
@@ -376,6 +422,9 @@
 	w.run.Flows = append(w.run.Flows, f)
 	w.run.Counts.Tries++
 	w.byID[f.ID], w.wishOf[f.ID] = f, p
+	if p.at != nil {
+		f.Timeout, f.Stood = standWait, true
+	}
 	p.flow, p.state, p.node, p.hostEnd, p.silent = f, asking, n, 0, false
 	p.toHost, p.toSelf, p.live = owed{}, owed{}, false
 	n.flows = append(n.flows, p)
@@ -408,6 +457,9 @@
 	if p.group != "" {
 		fmt.Fprintf(&b, ",g=%s", p.group)
 	}
+	if p.at != nil {
+		fmt.Fprintf(&b, ",at=%s", p.at.uid)
+	}
 	if p.retry {
 		b.WriteString(",r=1")
 	}
@@ -479,6 +531,7 @@
 func (p *wish) answer(text string) {
 	w, f := p.w, p.flow
 	f.Add(record.Event{At: w.now, Kind: record.Answered, Host: -1, Text: text})
+	p.at = nil
 	receipt, up := strings.CutPrefix(text, "UP ")
 	if !up {
 		told := int64(-1)
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -311,11 +311,19 @@
 // asked takes the line of a connect.
 func (h *host) asked(hc *hostConn, line []byte) {
 	o, err := lines.ParseOpen(line)
-	if err != nil || o.ID != hc.flow.ID || o.At != "" || h.w.s.TypeNo(o.Class) != hc.flow.Type || o.Key != hc.flow.Key {
+	if err != nil || o.ID != hc.flow.ID || h.w.s.TypeNo(o.Class) != hc.flow.Type || o.Key != hc.flow.Key {
 		h.nonsense(hc, fmt.Sprint("changed on its way: ", string(line)))
 		return
 	}
 	hc.flow.Add(record.Event{At: h.w.now, Kind: record.Came, Host: h.no, Try: hc.try})
+	if o.At != "" {
+		if hc.wish.at != h {
+			h.nonsense(hc, "it never stood here: "+o.At)
+			return
+		}
+		h.setUp(&job{c: hc})
+		return
+	}
 	h.burden()
 	t := h.w.s.Fleet
 	switch {
--- a/record/record.go
+++ b/record/record.go
@@ -58,6 +58,7 @@
 	Zone      int
 	Timeout   int64 // how long its client waits
 	Again     bool
+	Stood     bool // at its host before the run
 	Crossed   bool // the host it was established at is in another zone than its node
 	Events    []Event
 	Receipts  []string // that hosts gave for it
@@ -304,7 +305,7 @@
 	for _, f := range r.Flows {
 		word, _ := f.Answer()
 		s.Answers[word]++
-		if word == "established" {
+		if word == "established" && !f.Stood {
 			s.Setups[f.Type] = append(s.Setups[f.Type], f.Establish)
 			if f.Establish > r.Types[f.Type].Target {
 				s.LateShare[f.Type]++
--- a/scenario/check.go
+++ b/scenario/check.go
@@ -243,6 +243,8 @@
 func (s *Script) checkDemand(f *faults) {
 	d := s.Demand
 	f.number("demand.rate", d.Rate, 0, mostRate)
+	f.number("demand.standing", d.Stand, 0, 10)
+	f.number("demand.standing_tilt", d.Tilt, 0, 3)
 	f.span("demand.life", d.Life, 100*ms, hour)
 	if d.Rate == 0 && d.Flows == "" && len(d.Loops)+len(d.Bulk) == 0 {
 		f.add("demand.rate", "nobody comes: give a rate, flows, loops or bulk")
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -190,9 +190,11 @@
 
 // Demand is who comes.
 type Demand struct {
-	Rate  float64            `toml:"rate"` // new flows a second, over all zones
-	Life  Span               `toml:"life"` // of a flow of life 1, on average
-	Skew  map[string]float64 `toml:"skew"` // weight of a zone; 1 where none is given
+	Rate  float64            `toml:"rate"`          // new flows a second, over all zones
+	Life  Span               `toml:"life"`          // of a flow of life 1, on average
+	Skew  map[string]float64 `toml:"skew"`          // weight of a zone; 1 where none is given
+	Stand float64            `toml:"standing"`      // flows that stand at the start, as a share of the rate's mean number
+	Tilt  float64            `toml:"standing_tilt"` // sigma of their uneven spread over hosts (log-normal)
 	Waves []Wave             `toml:"waves"`
 	Flows string             `toml:"flows"` // a file of flows, in place of a rate
 	Loops []Loop             `toml:"loops"`
--- a/virtual/virtual.go
+++ b/virtual/virtual.go
@@ -222,7 +222,7 @@
 	v.tally()
 	v.life++
 	v.n, v.socks, v.held, v.arrived, v.inbox, v.turnAt, v.stop, v.follow = nil, nil, 0, nil, nil, never, false, ""
-	v.busy = 0
+	v.busy = v.p.w.Now()
 }
 
 func (v *vnode) tally() {
