--- a/fleet/host.go
+++ b/fleet/host.go
@@ -110,7 +110,11 @@
 	if h.state != running || h.paused > 0 {
 		return 0
 	}
-	return core * h.speed * h.warm(h.at) * (1 - h.taken) / max(h.slow, 1)
+	rate := core * h.speed * h.warm(h.at) * (1 - h.taken) / max(h.slow, 1)
+	if t := h.w.s.Fleet; t.Thrash > 0 && h.backlog > 0 {
+		rate *= 1 - t.Thrash*min(h.backlog/(t.Buffer.Seconds()*rate*h.cores), 1)
+	}
+	return rate
 }
 
 // full is the load of flows, of load 1 each, that fill the host when it is warm and alone.
--- a/scenario/check.go
+++ b/scenario/check.go
@@ -147,6 +147,7 @@
 	f.number("fleet.error_rate", t.ErrorRate, 0, 1)
 	f.word("fleet.drain", t.Drain, "none", "paced", "at_once")
 	f.span("fleet.buffer", t.Buffer, 0, 60*second)
+	f.number("fleet.thrash", t.Thrash, 0, 0.95)
 	f.word("fleet.sheds", t.Sheds, "none", "newest", "heaviest")
 	f.word("fleet.echo", t.Echo, "at_once", "in_turn")
 	f.number("fleet.load_spread", t.LoadSpread, 0, 3)
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -101,6 +101,7 @@
 	ErrorRate  float64 `toml:"error_rate"`     // share of set-ups answered ERR
 	Drain      string  `toml:"drain"`          // none, paced or at_once: how a draining host sends its clients away
 	Buffer     Span    `toml:"buffer"`         // work of messages piled up at most
+	Thrash     float64 `toml:"thrash"`         // share of its capacity that a host loses when its buffer is full
 	Sheds      string  `toml:"sheds"`          // none, newest or heaviest: whom a host drops when its buffer is full
 	Echo       string  `toml:"echo"`           // at_once or in_turn: whether lines come back before their work is done
 	TellsLoad  bool    `toml:"tells_load"`     // hosts send LOAD
