--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -42,6 +42,7 @@
 
 	state   wishState
 	tries   int // in a row without success
+	rounds  int // of tries used up in a row
 	again   bool
 	retry   bool
 	flow    *record.Flow
@@ -493,7 +494,10 @@
 		return
 	}
 	if c.Wait == "none" || p.tries > c.Retries {
-		return // gone for good; what it wanted counts as not served
+		if !c.GivesUp {
+			p.later()
+		}
+		return
 	}
 	wait := int64(0)
 	switch c.Wait {
@@ -509,9 +513,19 @@
 	p.w.after(max(wait, 1), p.ask)
 }
 
+const longestWait = 8 * second
+
+// later lets a client come again whose tries are used up, after ever longer waits.
+func (p *wish) later() {
+	wait := min(p.w.s.Clients.Back[1].Us()<<min(p.rounds, 10), longestWait)
+	p.rounds++
+	p.tries = 0
+	p.w.after(wait/2+p.own.Int64N(wait/2+1), p.ask)
+}
+
 // back lets a client come again whose connection broke or was moved.
 func (p *wish) back(within [2]int64) {
-	p.again, p.retry, p.tries = true, false, 0
+	p.again, p.retry, p.tries, p.rounds = true, false, 0, 0
 	p.w.after(within[0]+p.own.Int64N(within[1]-within[0]+1), p.ask)
 }
 
@@ -547,7 +561,7 @@
 	}
 	f.Establish = w.now - f.Find(record.Asked).At
 	name, _, _ := strings.Cut(receipt, ".")
-	p.state, p.tries, p.retry = established, 0, false
+	p.state, p.tries, p.rounds, p.retry = established, 0, 0, false
 	for _, h := range w.hosts {
 		if h.uid == name {
 			f.Host = h.no
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -407,7 +407,7 @@
 	run := n.run
 	g := &greeting{w, n}
 	c := w.open(g, n.no, nil)
-	w.after(second/2, func() {
+	w.after(2*second, func() {
 		if n.run == run && n.listening && !n.in {
 			w.hang(c, true)
 			w.greet(n)
--- a/live/live.go
+++ b/live/live.go
@@ -28,9 +28,10 @@
 // Options are what a run may have besides its script.
 type Options struct {
 	Seed    uint64
-	Program string // of the node
-	Logs    string // folder for the nodes' logs; empty: a temporary one
-	Capture string // folder for captures; empty: none are written
+	Program string        // of the node
+	Logs    string        // folder for the nodes' logs; empty: a temporary one
+	stall   func(*player) // for tests: makes the machine late
+	Capture string        // folder for captures; empty: none are written
 }
 
 // player is the Nodes of a run. Its fields but for in belong to the goroutine that plays the world.
@@ -76,6 +77,9 @@
 		Epoch:     p.start.UnixMicro(), Lead: lead})
 	p.open()
 	p.w.Begin()
+	if opt.stall != nil {
+		opt.stall(p)
+	}
 	ready := p.play(-100_000) && p.w.AllReady()
 	if p.err == nil && !ready {
 		p.err = errors.New("not every node answered PING in time: " + p.logTail())
--- /dev/null
+++ b/live/live_test.go
@@ -0,0 +1,157 @@
+package live
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"coursewinch/capture"
+	"coursewinch/rules"
+	"coursewinch/scenario"
+)
+
+var program string
+
+// TestMain builds the node that the tests start.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "live-")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "coursewinch")
+	out, err := exec.Command("go", "build", "-o", program, "coursewinch/cmd/coursewinch").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const script = `name = "signals"
+length = "6s"
+zones = ["a"]
+[clients]
+wait = "fixed"
+pause = "50ms"
+[[hosts]]
+count = 3
+cores = 4.0
+[[nodes]]
+count = 2
+[front]
+notice = "500ms"
+[demand]
+rate = 20.0
+life = "1s"
+[[types]]
+name = "t"
+setup_target = "500ms"
+connect_timeout = "1s"
+message_target = "100ms"
+[[faults]]
+at = "1s"
+kind = "node_reload"
+nodes = ["n-0"]
+[[faults]]
+at = "2s"
+kind = "node_kill"
+nodes = ["n-0"]
+for = "300ms"
+[[faults]]
+at = "3500ms"
+kind = "node_stop"
+nodes = ["n-1"]
+for = "300ms"
+[[faults]]
+at = "3s"
+kind = "crash"
+hosts = ["h-1"]
+for = "1s"
+`
+
+func load(t *testing.T, text string) *scenario.Script {
+	t.Helper()
+	s, err := scenario.Parse("live.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestSignals plays SIGHUP, SIGKILL, SIGTERM and a host's crash on real processes: rules are kept, every node serves
+// again, and the captures of all their lives can be read. On a machine that ran late the run says nothing.
+func TestSignals(t *testing.T) {
+	dir := t.TempDir()
+	r, err := Play(load(t, script), Options{Program: program, Capture: dir, Logs: filepath.Join(dir, "logs")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Void != "" {
+		t.Skip(r.Void)
+	}
+	for _, b := range rules.Check(r) {
+		t.Error(b.Report(r))
+	}
+	late := map[int]int{}
+	for _, f := range r.Flows {
+		if word, at := f.Answer(); word == "established" && at > 4_800_000 {
+			late[f.Node]++
+		}
+	}
+	if late[0] == 0 || late[1] == 0 {
+		t.Errorf("established at the end, by node: %v", late)
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "*.capture"))
+	if len(files) != 4 {
+		t.Errorf("captures %v", files)
+	}
+	flows := 0
+	for _, path := range files {
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := capture.Read(f)
+		f.Close()
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+			continue
+		}
+		flows += len(c.Flows)
+	}
+	if flows < len(r.Flows)*2/3 {
+		t.Errorf("%d of %d flows captured", flows, len(r.Flows))
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "logs", "n-0.log"))
+	if err != nil || !strings.Contains(string(text), "config_read") {
+		t.Errorf("no sign of SIGHUP in the log: %v", err)
+	}
+}
+
+// TestLateMachine stops the goroutine that plays the fleet: the run must be void, and not the node's fault.
+func TestLateMachine(t *testing.T) {
+	s := load(t, strings.Replace(script[:strings.Index(script, "[[faults]]")], "6s", "2s", 1))
+	r, err := Play(s, Options{Program: program, stall: func(p *player) {
+		p.w.At(1_000_000, func() { time.Sleep(2 * lateWorst * time.Microsecond) })
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(r.Void, "the machine ran late") {
+		t.Errorf("void: %q, late: %s", r.Void, r.Late)
+	}
+}
+
+func TestBadProgram(t *testing.T) {
+	if _, err := Play(load(t, script), Options{Program: "/nowhere/at/all"}); err == nil {
+		t.Error("a program that is not there was started")
+	}
+	text := strings.Replace(strings.Replace(script, "count = 3", "count = 900", 1), "count = 2", "count = 900", 1)
+	if _, err := Play(load(t, text), Options{Program: program}); err == nil || !strings.Contains(err.Error(), "too many") {
+		t.Errorf("810,000 listeners: %v", err)
+	}
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,41 @@
+package replay
+
+import (
+	"testing"
+
+	"coursewinch/capture"
+)
+
+// TestClients puts a client together that was refused, stood, broke, came again at another node and left.
+func TestClients(t *testing.T) {
+	const s = 1_000_000
+	one := &capture.Capture{Start: capture.Start{Node: "n-0", At: 100 * s}, Last: 60 * s,
+		Flows: []capture.Flow{
+			{No: 1, At: 1 * s, Type: "t", Key: "a", Answer: capture.Rejected, Took: 1000},
+			{No: 2, At: 2 * s, Type: "t", Key: "a", Answer: capture.Established, Took: 1000},
+			{No: 3, At: 3 * s, Type: "t", Key: "open", Answer: capture.Established, Took: 1000},
+			{No: 4, At: 4 * s, Type: "t", Key: "never", Answer: capture.Rejected, Took: 1000},
+			{No: 5, At: 40 * s, Type: "t", Key: "a", Answer: capture.Established, Took: 1000}},
+		Ends:  map[uint64]capture.End{2: {No: 2, At: 5 * s, How: capture.Severed}, 5: {No: 5, At: 45 * s, How: capture.Gone}},
+		Loads: map[uint64][]capture.Load{2: {{No: 2, At: 2 * s, Load: 100}, {No: 2, At: 4 * s, Load: 300}}}}
+	two := &capture.Capture{Start: capture.Start{Node: "n-1", Zone: 1, At: 101 * s}, Last: 60 * s,
+		Flows: []capture.Flow{{No: 1, At: 5 * s, Type: "t", Key: "a", Again: true, Answer: capture.Established, Took: 1000}},
+		Ends:  map[uint64]capture.End{1: {No: 1, At: 9 * s, How: capture.Completed}}}
+	all := Clients([]*capture.Capture{one, two})
+	if len(all) != 4 {
+		t.Fatalf("%d clients: %+v", len(all), all)
+	}
+	a, open, never, later := all[0], all[1], all[2], all[3]
+	if a.At != 1*s || a.Life != 9*s || a.Tries != 3 || a.Zone != 0 || len(a.Loads) != 2 || a.Loads[1].At != 3*s {
+		t.Errorf("the one that came three times: %+v", a)
+	}
+	if open.Life != 58*s {
+		t.Errorf("the one that still stood: %+v", open)
+	}
+	if want := (a.Life + later.Life) / 2; never.Life != want {
+		t.Errorf("the one that never stood wants %d, not the mean of its type, %d", never.Life, want)
+	}
+	if later.At != 40*s || later.Life != 5*s {
+		t.Errorf("the same key long after: %+v", later)
+	}
+}
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -168,6 +168,7 @@
 	Retries int     `toml:"retries"`    // tries after the first
 	Wait    string  `toml:"wait"`       // none, at_once, fixed or exponential
 	Pause   Span    `toml:"pause"`      // the fixed wait, and the first of the exponential ones
+	GivesUp bool    `toml:"gives_up"`   // after these it is gone; else it comes again later, and waits ever longer
 	Honour  float64 `toml:"honour"`     // share of clients that wait as told
 	Back    [2]Span `toml:"back"`       // after a break a client comes again within
 	Moved   [2]Span `toml:"moved"`      // after MOVE
--- a/virtual/virtual_test.go
+++ b/virtual/virtual_test.go
@@ -1,6 +1,13 @@
 package virtual
 
 import (
+	"math"
+	"path/filepath"
+	"slices"
+
+	"coursewinch/capture"
+	"coursewinch/record"
+	"coursewinch/replay"
 	"io"
 	"log"
 	"os"
@@ -45,3 +52,148 @@
 		}
 	}
 }
+
+func run(t *testing.T, name string, changes ...string) *record.Run {
+	t.Helper()
+	s, err := scenario.LoadWith(name, changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Play(s, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range rules.Check(r) {
+		t.Errorf("%s: %s", name, b.Report(r))
+	}
+	return r
+}
+
+// TestRestartBesideColdHost wants the killed node to serve again, and the warming host to get flows while it warms.
+func TestRestartBesideColdHost(t *testing.T) {
+	r := run(t, "node-restart-cold-host")
+	again, warming := 0, 0
+	for _, f := range r.Flows {
+		word, at := f.Answer()
+		if word == "established" && f.Node == 0 && at > 24_000_000 {
+			again++
+		}
+		if word == "established" && f.Host == 3 && at > 15_000_000 && at < 37_000_000 {
+			warming++
+		}
+	}
+	if again < 10 || warming < 1 {
+		t.Errorf("%d flows at the node after its restart, %d on the warming host", again, warming)
+	}
+}
+
+// TestDrainBesideNeighbour wants nothing new on the drained host once every node must know, and moves away from it.
+func TestDrainBesideNeighbour(t *testing.T) {
+	r := run(t, "drain-beside-neighbour")
+	moved := 0
+	for _, f := range r.Flows {
+		_, at := f.Answer()
+		if f.Host == 1 && at > 19_000_000 {
+			t.Errorf("established on the drained host at %d us", at)
+		}
+		if f.Host == 1 && f.Find(record.Moved) != nil {
+			moved++
+		}
+	}
+	if moved == 0 {
+		t.Error("nobody was moved")
+	}
+}
+
+func TestAllHostsDie(t *testing.T) {
+	r := run(t, "all-hosts-die")
+	if n := r.Sum().Answers["none"]; n > 0 {
+		t.Errorf("%d flows without an answer", n)
+	}
+	for _, s := range r.Seconds[22:29] {
+		for _, v := range s.Served {
+			if v > 0 {
+				t.Fatal("served while no host lived")
+			}
+		}
+	}
+}
+
+func TestTenTimesDemand(t *testing.T) {
+	r := run(t, "ten-times")
+	a := r.Sum().Answers
+	if a["rejected"] < a["established"] || a["established"] < 100 || a["none"] > 0 {
+		t.Errorf("answers %v", a)
+	}
+}
+
+// TestFullCore plays a node whose core is full: what it sets up is bounded by what its core can do, and without a cost
+// it is not. Guards the cost model that shows the node's own limits in virtual time.
+func TestFullCore(t *testing.T) {
+	short := []string{"length=\"1s\"", "demand.loops=[{count=32,for=\"1s\"}]", "demand.bulk=[]"}
+	free := run(t, "full-core", append(short, `node={}`)...)
+	full := run(t, "full-core", append(short, `node={turn_cost="28us",event_cost="3us",socket_cost="100us"}`)...)
+	const perFlow = 4 * 100 // at least: taken, opened and two closed
+	n, most := full.Sum().Answers["established"]+full.Sum().Answers["left"], 1_000_000/perFlow
+	if n > most || n < most/4 {
+		t.Errorf("%d flows with a full core, %d possible", n, most)
+	}
+	if m := free.Sum().Answers["established"]; m < 3*n {
+		t.Errorf("%d flows with a full core, %d with a free one", n, m)
+	}
+}
+
+// TestStarved takes most of a node's core: its set-ups take longer, and all its flows have their answer.
+func TestStarved(t *testing.T) {
+	r := run(t, "full-core", "length=\"3s\"", "demand.bulk=[]", `demand.loops=[{count=4,for="3s"}]`,
+		`faults=[{at="1s",kind="node_starve",nodes=["n-0"],size=0.95,for="1s"}]`)
+	var before, meanwhile []int64
+	for _, f := range r.Flows {
+		if word, at := f.Answer(); word == "established" && at < 1_000_000 {
+			before = append(before, f.Establish)
+		} else if word == "established" && at > 1_050_000 && at < 2_000_000 {
+			meanwhile = append(meanwhile, f.Establish)
+		}
+	}
+	slices.Sort(before)
+	slices.Sort(meanwhile)
+	if b, m := record.Quantile(before, 0.5), record.Quantile(meanwhile, 0.5); m < 2*b {
+		t.Errorf("set-ups took %d us, and %d with a twentieth of the core", b, m)
+	}
+}
+
+// TestCaptureReplays wants a replay of a run's captures to serve what the run served.
+func TestCaptureReplays(t *testing.T) {
+	dir := t.TempDir()
+	s, err := scenario.Load("busy-evening")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := Play(s, Options{Capture: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []*capture.Capture
+	files, _ := filepath.Glob(filepath.Join(dir, "*.capture"))
+	for _, path := range files {
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := capture.Read(f)
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+	}
+	s.Recorded, _ = replay.ToScript(all, s, lead)
+	s.Demand.Flows = "captured"
+	second, err := Play(s, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, b := first.Sum().Service, second.Sum().Service; math.Abs(a-b) > 0.02 {
+		t.Errorf("service %.3f, replayed %.3f", a, b)
+	}
+}
