--- a/fleet/net.go
+++ b/fleet/net.go
@@ -250,7 +250,7 @@
 	case isHost:
 		c.Host, c.peer, c.way = h.no, h, way{node, h.zone}
 	default:
-		c.peer, c.way = w.disc, way{node, n.zone}
+		c.peer, c.way, n.askedAt = w.disc, way{node, n.zone}, w.now // it asks, whatever comes of it
 	}
 	w.carry(c, &c.toPeer, func() {
 		if !w.alive(c) || c.nodeDone {
