--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -730,3 +730,47 @@
 		}
 	}
 }
+
+// Guards against leaving most servers out for a cause that they share, or that lies in this node: with every probe late,
+// half of them at the most are skipped; a node with one server keeps it.
+func TestLateProbesSkipHalfAtMost(t *testing.T) {
+	for n, most := range map[int]int{1: 0, 2: 1, 5: 2, 8: 4} {
+		b, _ := start(n, Repeatable, ScopeAll)
+		b.set.Untold = true
+		for range 3 {
+			for _, s := range b.servers {
+				s.fastest = 1000
+				b.Probed(s, Completed, 20_000)
+			}
+		}
+		skipped := 0
+		for _, s := range b.servers {
+			if s.skipped {
+				skipped++
+			}
+		}
+		if skipped != most {
+			t.Errorf("of %d servers with late probes %d are skipped, not %d", n, skipped, most)
+		}
+	}
+}
+
+// Guards the latency of a server against the node's own lateness: a probe of which only the least time is known counts as
+// answered, and as late only if that least time is.
+func TestUnsureProbes(t *testing.T) {
+	b, _ := start(4, Repeatable, ScopeAll)
+	b.set.Untold = true
+	s := b.servers[0]
+	s.fastest = 1000
+	b.Probed(s, Recalled, 1200)
+	if s.skipped || s.fastest != 1000 || s.latency.Total() != 1 {
+		t.Errorf("skipped %t, fastest %d, %d samples", s.skipped, s.fastest, s.latency.Total())
+	}
+	if b.Probed(s, Recalled, 20_000); !s.skipped {
+		t.Error("late at the least, and not skipped")
+	}
+	b.Probed(s, Recalled, 1)
+	if b.Probed(s, Recalled, 1); s.skipped {
+		t.Error("answered twice, and still skipped")
+	}
+}
--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -52,6 +52,11 @@
 		Rate, Burst float64
 		Reserve     int
 	}
+	Holding struct {
+		Hosts, Groups, IDs, Buffers int
+		IdleMs                      int64 `json:"idle_ms"`
+		StalledMs                   int64 `json:"stalled_ms"`
+	}
 	Known    json.RawMessage
 	Settings json.RawMessage
 
@@ -78,6 +83,9 @@
 	if c.Limits.Memory < 0 || c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < 2*held {
 		return nil, fmt.Errorf("limits of %d MB and %d sockets can't be kept", c.Limits.Memory, c.Limits.Sockets)
 	}
+	if h := c.Holding; min(h.Hosts, h.Groups, h.IDs, h.Buffers) < 0 || min(h.IdleMs, h.StalledMs) < 0 {
+		return nil, fmt.Errorf("holding %+v: nothing under 0", h)
+	}
 	if c.Capture.MB < 0 || c.Capture.MB > 1<<20 {
 		return nil, fmt.Errorf("capture of %d MB: 0 (for %d) to %d", c.Capture.MB, captureMB, 1<<20)
 	}
@@ -152,6 +160,7 @@
 		}
 		if say.Swap(false) {
 			log.Printf("msg=counters %v", d.Count)
+			log.Printf("msg=holdings %s", d.HoldingsText())
 		}
 		if again.Swap(false) {
 			c = reload(path, c, d.Node)
@@ -161,7 +170,8 @@
 		return err
 	}
 	conf := node.Config{Discovery: c.Discovery, Seed: c.seed, Admission: admission.Limits{PerAddress: c.Admission.PerAddress,
-		Rate: c.Admission.Rate, Burst: c.Admission.Burst, Reserve: c.Admission.Reserve}}
+		Rate: c.Admission.Rate, Burst: c.Admission.Burst, Reserve: c.Admission.Reserve}, Limits: node.Limits{Hosts: c.Holding.Hosts, Groups: c.Holding.Groups, IDs: c.Holding.IDs,
+		Buffers: c.Holding.Buffers, Idle: c.Holding.IdleMs * 1000, Stalled: c.Holding.StalledMs * 1000}}
 	if c.Capture.File != "" {
 		w, err := capture.Create(c.Capture.File, cmp.Or(c.Capture.MB, captureMB)<<20,
 			capture.Start{Node: c.Name, Zone: c.set.Zone, At: time.Now().UnixMicro()})
--- a/cmd/rehearse/play.go
+++ b/cmd/rehearse/play.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"coursewinch/node"
 	"coursewinch/record"
 	"coursewinch/report"
 	"coursewinch/rules"
@@ -71,6 +72,7 @@
 func playCommand() *cobra.Command {
 	var opt virtual.Options
 	var out outputs
+	var holdings string
 	c := &cobra.Command{
 		Use:   "play SCRIPT",
 		Short: "Play a script in virtual time: the same script and seed give the same answers on every machine",
@@ -87,6 +89,20 @@
 				return err
 			}
 			defer done()
+			if holdings != "" {
+				f, err := os.Create(holdings)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				opt.Watch = func(at int64, all map[int][]node.Hold) {
+					for no := range s.NodeCount() {
+						for _, h := range all[no] {
+							fmt.Fprintf(f, "%d n-%d %s %d %d\n", at/1_000_000, no, h.Purpose, h.Count, h.Bytes)
+						}
+					}
+				}
+			}
 			start := time.Now()
 			r, err := virtual.Play(s, opt)
 			if err != nil {
@@ -104,6 +120,7 @@
 	c.Flags().Uint64Var(&opt.Seed, "seed", 0, "seed in place of the script's own")
 	c.Flags().Uint64Var(&opt.NodeSeed, "node-seed", 0, "another seed for the nodes' own chance")
 	c.Flags().StringVar(&opt.Capture, "capture", "", "`folder` in which nodes write captures")
+	c.Flags().StringVar(&holdings, "holdings", "", "write what nodes hold by purpose, each second, to this `file`")
 	out.flags(c)
 	return c
 }
--- a/fleet/faults.go
+++ b/fleet/faults.go
@@ -27,7 +27,7 @@
 	case "discovery_no":
 		w.disc.refuses += f.Size
 		w.after(length, func() { w.disc.refuses -= f.Size })
-	case "reconnect":
+	case "reconnect", "vanish":
 		w.reconnect(f, w.chance(forFaults+no<<8+1<<20))
 	case "node_kill", "node_stop", "node_reload", "node_starve":
 		for i, n := range pick(f.Nodes, len(w.nodes)) {
@@ -89,6 +89,16 @@
 		w.drain(h, length, second/2)
 	case "join":
 		w.join(h)
+	case "relist":
+		w.relist(h, f.On.Us(), w.now+length)
+	}
+}
+
+// relist lets discovery tell of a host again and again, as it is.
+func (w *World) relist(h *host, every, until int64) {
+	w.disc.learn(h)
+	if every = max(every, 100_000); w.now+every < until {
+		w.after(every, func() { w.relist(h, every, until) })
 	}
 }
 
@@ -235,7 +245,9 @@
 			continue
 		}
 		p.flow.Add(record.Event{At: w.now, Kind: record.Left, Host: -1})
-		w.hang(p.conn, true)
+		if f.Kind == "reconnect" {
+			w.hang(p.conn, true)
+		}
 		p.gen++
 		p.rest()
 		w.run.Counts.Breaks++
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -286,8 +286,9 @@
 	c.Known = w.list(n.no, n.rev, known, true)
 	c.Settings = w.settings(n)
 	a := w.s.Node.Admission
-	c.JSON = fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"admission":{"per_address":%d,"rate":%g,"burst":%g,"reserve":%d},"known":%s,"settings":%s}`,
+	c.JSON = fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"admission":{"per_address":%d,"rate":%g,"burst":%g,"reserve":%d},"holding":{"buffers":%d,"idle_ms":%d,"stalled_ms":%d},"known":%s,"settings":%s}`,
 		c.Name, c.Listen, c.Discovery, c.Seed>>1, w.s.Node.MemoryMB, w.s.Node.Sockets, a.PerAddress, a.Rate, a.Burst, a.Reserve,
+		w.s.Node.Holding.Buffers, w.s.Node.Holding.Idle/1000, w.s.Node.Holding.Stalled/1000,
 		c.Known, c.Settings)
 	return c
 }
--- a/lines/ring.go
+++ b/lines/ring.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"sync"
+	"sync/atomic"
 )
 
 const (
@@ -17,6 +18,11 @@
 // blocks are those that no ring holds. Guards the memory: of a thousand connections few have bytes on their way.
 var blocks = sync.Pool{New: func() any { return new(block) }}
 
+var held atomic.Int64
+
+// Held is how many blocks hold bytes now, in the whole process.
+func Held() int { return int(held.Load()) }
+
 // Ring is a byte queue of fixed size. Its memory comes with the first byte and goes with the last.
 type Ring struct {
 	buf      *block
@@ -30,6 +36,7 @@
 func (r *Ring) Space() []byte {
 	if r.buf == nil {
 		r.buf, r.start = blocks.Get().(*block), 0
+		held.Add(1)
 	}
 	from := (r.start + r.n) % RingSize
 	return r.buf[from:min(from+r.Free(), RingSize)]
@@ -54,6 +61,7 @@
 	if r.n == 0 && r.buf != nil {
 		blocks.Put(r.buf)
 		r.buf = nil
+		held.Add(-1)
 	}
 }
 
--- a/node/conns.go
+++ b/node/conns.go
@@ -132,6 +132,7 @@
 	case fresh:
 		n.greet(c)
 	case client:
+		c.heard = n.now
 		switch {
 		case c.flow.over:
 		case c.flow.stage == Established:
@@ -167,6 +168,7 @@
 		return
 	}
 	defer n.guard(c)
+	c.moved = n.now
 	if c.role == fresh {
 		n.greet(c) // what was held back for want of room in its ring
 	}
@@ -238,6 +240,7 @@
 				n.queue(c, &n.mute) // guards descriptors against lines that never end
 				n.times.set(&c.timer, n.now+firstLine)
 			}
+			n.relieve()
 			return
 		case string(lines.Bare(line)) != "PING":
 			line = append([]byte(nil), line...)
@@ -507,6 +510,7 @@
 // tellSlow tells the module how long messages take at each host while that is over a third of the shortest target,
 // and once more after: the median of what came back since, and of what is still out and older than that.
 func (n *Node) tellSlow() {
+	n.tidy()
 	n.times.set(&n.say, n.now+sayEvery)
 	for _, s := range n.flows.all {
 		if f := s.v; f != nil && f.askedAt > 0 && !f.over {
--- a/node/flows.go
+++ b/node/flows.go
@@ -125,7 +125,7 @@
 	id := hash(name)
 	g := n.groups[id]
 	if g == nil {
-		if len(n.groups) >= mostGroups { // guards the memory: groups without flows are met anew
+		if len(n.groups) >= n.lim.Groups { // guards the memory: groups without flows are met anew
 			for id, o := range n.groups {
 				if o.flows == 0 {
 					delete(n.groups, id)
@@ -271,6 +271,7 @@
 	n.captureAnswer(f, capture.Established)
 	f.stage, f.open = Established, nil
 	n.standing++
+	f.client.heard = n.now
 	if f.group != nil {
 		f.group.stood = true
 	}
@@ -375,6 +376,9 @@
 		to.midLine = false
 	}
 	f.seen.passed(false, p)
+	if to.out.Len() == 0 {
+		to.moved = n.now
+	}
 	to.out.Put(p)
 	to.midLine = !ended
 	f.link.in.Drop(len(p))
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"container/list"
 	"fmt"
 	"log"
@@ -44,7 +45,7 @@
 	rejoinEvery = 300 * ms    // a connection that stood before is tried so often
 	reserve     = 8           // descriptors kept besides those that are owed to hosts
 	settled     = 100 * ms    // a connection that has said nothing for so long may be shed
-	mostGroups  = 4096
+	mostGroups  = 4096        // where the limits say nothing
 	mostIDs     = 8192
 	mostKinds   = 64 // of log lines
 )
@@ -56,6 +57,7 @@
 	Decide    func(*settings.Settings, int64) Decider // nil: the decision module
 	Capture   Capture                                 // nil: none
 	Admission admission.Limits                        // zero: every connection is taken
+	Limits    Limits
 }
 
 // Capture takes what became of flows; it must not wait for anything.
@@ -141,6 +143,8 @@
 	drained int
 	reader  discovery.Reader
 	from    string       // the address of discovery
+	heard   int64        // when it last sent something
+	moved   int64        // when it last took something of what waits for it
 	gated   netip.Prefix // its address, as the gate counts it; invalid without one
 	rev     int64        // told by it last
 }
@@ -191,6 +195,7 @@
 	room              deadline
 	logs              map[string]*kind
 	own               lateness
+	lim               Limits
 	gate              *admission.Gate // nil: every connection is taken
 	probing           int             // probes out
 	standing          int             // established flows
@@ -216,6 +221,7 @@
 	Accepted, Taken, Stood, Connects, Established, Rejected, Aborted, Left, Bad, Crowded, Shed int
 	Completed, Severed, Moves, Silent, Probes, ProbesFailed, Calls, CallsFailed, Lists         int
 	Reloads, Panics                                                                            int
+	Vanished                                                                                   int   // clients that said or took nothing for too long
 	Refused                                                                                    int   // connections, by the gate
 	LateTurns, LateUs                                                                          int64 // the node's own
 }
@@ -223,9 +229,9 @@
 func (c Counters) String() string {
 	return fmt.Sprintf("accepted=%d taken=%d stood=%d connects=%d established=%d rejected=%d aborted=%d left=%d "+
 		"bad=%d crowded=%d shed=%d completed=%d severed=%d moves=%d silent=%d probes=%d probes_failed=%d calls=%d "+
-		"calls_failed=%d lists=%d reloads=%d panics=%d refused=%d late_turns=%d late_us=%d", c.Accepted, c.Taken, c.Stood, c.Connects, c.Established, c.Rejected,
+		"calls_failed=%d lists=%d reloads=%d panics=%d vanished=%d refused=%d late_turns=%d late_us=%d", c.Accepted, c.Taken, c.Stood, c.Connects, c.Established, c.Rejected,
 		c.Aborted, c.Left, c.Bad, c.Crowded, c.Shed, c.Completed, c.Severed, c.Moves, c.Silent, c.Probes, c.ProbesFailed,
-		c.Calls, c.CallsFailed, c.Lists, c.Reloads, c.Panics, c.Refused, c.LateTurns, c.LateUs)
+		c.Calls, c.CallsFailed, c.Lists, c.Reloads, c.Panics, c.Vanished, c.Refused, c.LateTurns, c.LateUs)
 }
 
 // New makes a node that knows the list it had last.
@@ -237,6 +243,9 @@
 	n := &Node{set: set, conf: conf, net: net, b: module{balance.New(&set.Settings, conf.Seed)},
 		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[uint64]*group{},
 		logs: map[string]*kind{}, from: conf.Discovery}
+	n.lim = conf.Limits
+	n.lim.Hosts, n.lim.Groups, n.lim.IDs = cmp.Or(n.lim.Hosts, mostListed), cmp.Or(n.lim.Groups, mostGroups), cmp.Or(n.lim.IDs, mostIDs)
+	n.ids.most = n.lim.IDs
 	if conf.Admission.On() {
 		n.gate = admission.New(conf.Admission)
 	}
@@ -381,6 +390,10 @@
 	n.b.List(kind)
 	for _, e := range l.Entries {
 		h := n.hosts[e.UID]
+		if h == nil && len(n.hosts) >= n.lim.Hosts {
+			n.note("list_cut", "more hosts than are kept")
+			continue
+		}
 		if h == nil {
 			h = &host{uid: e.UID, Server: balance.Server{Name: e.UID, Hash: hash(e.UID)}}
 			h.probeEnd.due = func() {
--- a/node/tables.go
+++ b/node/tables.go
@@ -51,6 +51,7 @@
 	held map[uint64]bool
 	ring []uint64
 	next int
+	most int
 }
 
 // add tells whether an id is new.
@@ -61,13 +62,13 @@
 	if r.held == nil {
 		r.held = map[uint64]bool{}
 	}
-	if r.held[id] = true; len(r.ring) < mostIDs {
+	if r.held[id] = true; len(r.ring) < r.most {
 		r.ring = append(r.ring, id)
 		return true
 	}
 	delete(r.held, r.ring[r.next])
 	r.ring[r.next] = id
-	r.next = (r.next + 1) % mostIDs
+	r.next = (r.next + 1) % r.most
 	return true
 }
 
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -138,6 +138,7 @@
 	Dial        Span `toml:"dial_timeout"`
 
 	Admission Admission `toml:"admission"`
+	Holding   Holding   `toml:"holding"`
 
 	// What the node's own core costs, for play in virtual time; all 0: it costs nothing.
 	Turn   Span `toml:"turn_cost"`   // each turn of its loop
@@ -154,6 +155,13 @@
 	Reserve    int     `toml:"reserve"`     // descriptors kept for known clients
 }
 
+// Holding is what a node may hold; 0: its own defaults, or no limit.
+type Holding struct {
+	Buffers int  `toml:"buffers"`
+	Idle    Span `toml:"idle"`
+	Stalled Span `toml:"stalled"`
+}
+
 // Discovery is the service that names the hosts.
 type Discovery struct {
 	Notice  Span    `toml:"notice"`  // until it knows of what changed
@@ -265,7 +273,7 @@
 	For   Span     `toml:"for"`
 	Size  float64  `toml:"size"`  // see the kinds
 	Delay Span     `toml:"delay"` // added to a link
-	On    Span     `toml:"on"`    // a neighbour is on and off for so long
+	On    Span     `toml:"on"`    // a neighbour is on and off for so long; hosts are listed again so often
 	Step  Span     `toml:"step"`  // between the members of a roll
 }
 
@@ -307,6 +315,8 @@
 	"store_slow":   {nothing, "times slower", 1, 1000, true},
 	"discovery":    {nothing, "", 0, 0, true}, // down for so long
 	"reconnect":    {nothing, "share of clients that drop and come again", 0.001, 1, true},
+	"vanish":       {nothing, "share of clients that vanish without a close and come again", 0.001, 1, true},
+	"relist":       {hosts, "", 0, 0, true}, // each on, discovery tells of them again, for so long
 	"discovery_no": {nothing, "share of calls refused", 0.001, 1, true},
 }
 
--- a/virtual/virtual.go
+++ b/virtual/virtual.go
@@ -33,7 +33,7 @@
 	Capture  string                                               // folder for captures; empty: none are written
 	NodeSeed uint64                                               // changes the nodes' own chance and nothing else
 	Decide   func(*settings.Settings, int64) node.Decider         // nil: the decision module
-	Watch    func(at int64, w *fleet.World)                       // called every virtual second
+	Watch    func(at int64, holdings map[int][]node.Hold)         // called every virtual second
 	Tune     func(no int, set *settings.Settings, c *node.Config) // before a node is made
 }
 
@@ -47,6 +47,17 @@
 	count node.Counters
 }
 
+// Holdings are what each running node holds now, by its number.
+func (p *player) holdings() map[int][]node.Hold {
+	all := map[int][]node.Hold{}
+	for _, v := range p.nodes {
+		if v.n != nil {
+			all[v.no] = v.n.Holdings()
+		}
+	}
+	return all
+}
+
 // Play plays a script to its end.
 func Play(s *scenario.Script, opt Options) (*record.Run, error) {
 	seed := opt.Seed
@@ -63,7 +74,7 @@
 		at = min(at+1_000_000, p.w.End())
 		p.w.Advance(at)
 		if opt.Watch != nil {
-			opt.Watch(at, p.w)
+			opt.Watch(at, p.holdings())
 		}
 	}
 	run := p.w.Run()
@@ -144,6 +155,7 @@
 	c := node.Config{Discovery: conf.Discovery, Seed: int64(conf.Seed >> 1), Decide: p.opt.Decide}
 	a := p.s.Node.Admission
 	c.Admission = admission.Limits{PerAddress: a.PerAddress, Rate: a.Rate, Burst: a.Burst, Reserve: a.Reserve}
+	c.Limits = node.Limits{Idle: p.s.Node.Holding.Idle.Us(), Stalled: p.s.Node.Holding.Stalled.Us()} // buffers are the process's
 	if p.opt.Capture != "" {
 		file := filepath.Join(p.opt.Capture, fmt.Sprintf("n-%d.%d.capture", no, v.life))
 		w, err := capture.Create(file, mostCapture, capture.Start{Node: conf.Name, Zone: set.Zone, At: epoch + p.w.Now()})
