--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -23,6 +23,7 @@
 	"coursewinch/capture"
 	"coursewinch/discovery"
 	"coursewinch/epoll"
+	"coursewinch/lines"
 	"coursewinch/node"
 	"coursewinch/settings"
 )
@@ -147,6 +148,7 @@
 	}
 	if c.Limits.Memory > 0 {
 		debug.SetMemoryLimit(c.Limits.Memory << 20 * 3 / 4)
+		lines.SetWide(int(c.Limits.Memory << 20 / 16 / lines.WideSize)) // a sixteenth
 	}
 	most := c.Limits.Sockets
 	if most == 0 {
--- a/epoll/loop.go
+++ b/epoll/loop.go
@@ -344,6 +344,7 @@
 			if n < len(space) {
 				break // that was all; an end is told by the poll
 			}
+			s.in.Widen()
 		}
 		if n == 0 && err == nil {
 			s.eof = true
--- a/lines/ring.go
+++ b/lines/ring.go
@@ -1,5 +1,3 @@
-// Package lines holds what a connection's text needs: a ring buffer for each direction and the parsers of single
-// lines.
 package lines
 
 import (
@@ -9,37 +7,85 @@
 )
 
 const (
-	Longest  = 4096 // of a line, without its end
-	RingSize = 2 * Longest
+	Longest  = 4096        // of a line, without its end
+	RingSize = 2 * Longest // of a ring
+	WideSize = 64 << 10    // of one that carries bulk
 )
 
-type block [RingSize]byte
+// block is the memory of a ring that holds bytes.
+type block struct{ data []byte }
 
 // blocks are those that no ring holds. Guards the memory: of a thousand connections few have bytes on their way.
-var blocks = sync.Pool{New: func() any { return new(block) }}
+var (
+	blocks = sync.Pool{New: func() any { return &block{make([]byte, RingSize)} }}
+	wides  = sync.Pool{New: func() any { return &block{make([]byte, WideSize)} }}
 
-var held atomic.Int64
+	held, wideHeld atomic.Int64
+	mostWide       atomic.Int64
+)
+
+func init() { mostWide.Store(32) }
+
+// SetWide bounds how many rings are wide at once in the whole process. Guards the memory against many that carry bulk
+// to peers who take nothing: those beyond stay narrow.
+func SetWide(most int) { mostWide.Store(int64(max(most, 0))) }
 
-// Held is how many blocks hold bytes now, in the whole process.
-func Held() int { return int(held.Load()) }
+// Held is how many blocks hold bytes now in the whole process, and how many of them are wide.
+func Held() (all, wide int) { return int(held.Load()), int(wideHeld.Load()) }
 
 // Ring is a byte queue of fixed size. Its memory comes with the first byte and goes with the last.
 type Ring struct {
 	buf      *block
 	start, n int
+	wide     bool // wanted, for the next time that it is empty
+}
+
+func (r *Ring) Len() int { return r.n }
+
+func (r *Ring) Free() int {
+	if r.buf == nil {
+		return RingSize
+	}
+	return len(r.buf.data) - r.n
+}
+
+// Widen asks for a wide ring from the next time on that it is empty, as long as there are some.
+func (r *Ring) Widen() { r.wide = true }
+
+func (r *Ring) take() {
+	held.Add(1)
+	if r.start = 0; r.wide {
+		if wideHeld.Add(1) <= mostWide.Load() {
+			r.buf = wides.Get().(*block)
+			return
+		}
+		wideHeld.Add(-1)
+	}
+	r.buf = blocks.Get().(*block)
 }
 
-func (r *Ring) Len() int  { return r.n }
-func (r *Ring) Free() int { return RingSize - r.n }
+func (r *Ring) give() {
+	held.Add(-1)
+	if len(r.buf.data) == WideSize {
+		wideHeld.Add(-1)
+		wides.Put(r.buf)
+	} else {
+		blocks.Put(r.buf)
+	}
+	r.buf = nil
+}
 
 // Space is the part that the next bytes may be put into; Grow counts them in. If none come, Drop(0) gives it back.
 func (r *Ring) Space() []byte {
 	if r.buf == nil {
-		r.buf, r.start = blocks.Get().(*block), 0
-		held.Add(1)
+		r.take()
 	}
-	from := (r.start + r.n) % RingSize
-	return r.buf[from:min(from+r.Free(), RingSize)]
+	size := len(r.buf.data)
+	from := r.start + r.n
+	if from >= size {
+		from -= size
+	}
+	return r.buf.data[from:min(from+r.Free(), size)]
 }
 
 func (r *Ring) Grow(n int) { r.n += n }
@@ -50,21 +96,28 @@
 	if r.buf == nil {
 		return nil
 	}
-	return r.buf[r.start:min(r.start+r.n, RingSize)]
+	return r.buf.data[r.start:min(r.start+r.n, len(r.buf.data))]
 }
 
 func (r *Ring) Drop(n int) {
+	if r.buf == nil {
+		return
+	}
 	r.n -= n
-	if r.start += n; r.start >= RingSize {
-		r.start -= RingSize
+	if r.start += n; r.start >= len(r.buf.data) {
+		r.start -= len(r.buf.data)
 	}
-	if r.n == 0 && r.buf != nil {
-		blocks.Put(r.buf)
-		r.buf = nil
-		held.Add(-1)
+	switch {
+	case r.n == 0:
+		r.give()
+	case r.n <= small && r.start > small && r.start+r.n <= len(r.buf.data):
+		copy(r.buf.data, r.buf.data[r.start:r.start+r.n]) // so that what comes next lies in one piece with it
+		r.start = 0
 	}
 }
 
+const small = 512 // bytes that are sooner moved than met in two pieces
+
 // Put takes all of p or nothing.
 func (r *Ring) Put(p []byte) bool {
 	if len(p) > r.Free() {
@@ -85,7 +138,7 @@
 		return head[:n]
 	}
 	whole := make([]byte, 0, n)
-	return append(append(whole, head...), r.buf[:n-len(head)]...)
+	return append(append(whole, head...), r.buf.data[:n-len(head)]...)
 }
 
 // Line is the first whole line with its end, or nil; it stays in the ring.
@@ -97,7 +150,7 @@
 	if len(head) == r.n {
 		return nil
 	}
-	i := bytes.IndexByte(r.buf[:r.n-len(head)], '\n')
+	i := bytes.IndexByte(r.buf.data[:r.n-len(head)], '\n')
 	if i < 0 {
 		return nil
 	}
--- a/node/flows.go
+++ b/node/flows.go
@@ -336,12 +336,20 @@
 	return nil, false
 }
 
+// put gives bytes to a connection. What carries bulk gets a wide ring: each turn then moves more for the same calls.
+func put(to *conn, p []byte) {
+	if len(p) > lines.RingSize/2 {
+		to.out.Widen()
+	}
+	to.out.Put(p)
+}
+
 // up passes on what a client sent.
 func (n *Node) up(f *flow, p []byte, ended bool) {
 	to := f.link
 	asks := ended && (!to.midLine || bytes.IndexByte(p, '\n') < len(p)-1) // a line of which no part went before
 	f.seen.passed(true, p)
-	to.out.Put(p)
+	put(to, p)
 	to.midLine = !ended
 	f.client.in.Drop(len(p))
 	if asks && f.askedAt == 0 {
@@ -379,7 +387,7 @@
 	if to.out.Len() == 0 {
 		to.moved = n.now
 	}
-	to.out.Put(p)
+	put(to, p)
 	to.midLine = !ended
 	f.link.in.Drop(len(p))
 	if answered && f.askedAt > 0 {
--- a/node/holdings.go
+++ b/node/holdings.go
@@ -52,7 +52,7 @@
 	for what := range n.logs {
 		logs += len(what) + int(unsafe.Sizeof(kind{}))
 	}
-	buffers := lines.Held()
+	buffers, wide := lines.Held()
 	return []Hold{
 		{"fd_new", roles[fresh], 0, 0}, {"fd_client", roles[client], 0, 0}, {"fd_connect", roles[upstream], 0, 0},
 		{"fd_probe", roles[probing], 0, 0}, {"fd_watch", roles[watching], 0, 0}, {"fd_leaving", roles[leaving], 0, 0},
@@ -60,7 +60,7 @@
 		{"hosts", len(n.hosts), len(n.hosts) * int(unsafe.Sizeof(host{})+64), n.lim.Hosts},
 		{"groups", len(n.groups), len(n.groups) * int(unsafe.Sizeof(group{})+48), n.lim.Groups},
 		{"ids", len(n.ids.ring), len(n.ids.ring) * 32, n.lim.IDs},
-		{"buffers", buffers, buffers * lines.RingSize, n.lim.Buffers},
+		{"buffers", buffers, (buffers-wide)*lines.RingSize + wide*lines.WideSize, n.lim.Buffers},
 		{"addresses", known + strangers, (known + strangers) * 192, 0},
 		{"logs", len(n.logs), logs, mostKinds},
 		{"deadlines", len(n.times.heap), cap(n.times.heap) * 8, 0},
@@ -108,7 +108,10 @@
 // relieve makes room among the buffers at their cap: of those that sit on half a line before they have a flow, the one
 // that has for longest goes. Guards the memory against many who say half a word.
 func (n *Node) relieve() {
-	for n.lim.Buffers > 0 && lines.Held() > n.lim.Buffers {
+	for n.lim.Buffers > 0 {
+		if held, _ := lines.Held(); held <= n.lim.Buffers {
+			return
+		}
 		var worst *conn
 		for e := n.mute.Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*conn); c.role == fresh && c.in.Len() > 0 {
