--- a/live/live_test.go
+++ b/live/live_test.go
@@ -155,3 +155,28 @@
 		t.Errorf("810,000 listeners: %v", err)
 	}
 }
+
+// TestStarvedNode takes most of a node's core by stopping its process again and again: sound hosts must not be blamed.
+func TestStarvedNode(t *testing.T) {
+	text := script[:strings.Index(script, "[[faults]]")]
+	text = strings.NewReplacer("\"6s\"", "\"5s\"", "count = 2", "count = 1").Replace(text) +
+		"[[faults]]\nat = \"1s\"\nkind = \"node_starve\"\nnodes = [\"n-0\"]\nsize = 0.6\nfor = \"3s\"\n"
+	dir := t.TempDir()
+	r, err := Play(load(t, text), Options{Program: program, Logs: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Void != "" {
+		t.Skip(r.Void)
+	}
+	for _, b := range rules.Check(r) {
+		t.Error(b.Report(r))
+	}
+	log, _ := os.ReadFile(filepath.Join(dir, "n-0.log"))
+	if n := strings.Count(string(log), "skipped"); n > 0 {
+		t.Errorf("%d hosts skipped:\n%s", n, log)
+	}
+	if a := r.Sum().Answers; a["established"] < len(r.Flows)-1 {
+		t.Errorf("answers %v", a)
+	}
+}
--- a/node/late_test.go
+++ b/node/late_test.go
@@ -122,3 +122,55 @@
 		t.Errorf("a second over %d turns: %d us, sure %t", 2*keptTurns+3, us, sure)
 	}
 }
+
+// TestClockJumps lets an hour pass within a flow's set-up, and then a second go back: every flow has its answer, nothing
+// breaks, and the next is served.
+func TestClockJumps(t *testing.T) {
+	n, w, _ := listening(t)
+	n.Late(0, 0)
+	c := w.client(asks)
+	n.Late(3600*second, 0)
+	w.turn(3600*second, func() {})
+	w.turn(1, func() {})
+	if w.sent[c] == "" || n.Count.Panics > 0 {
+		t.Errorf("answered %q, %d panics", w.sent[c], n.Count.Panics)
+	}
+	n.Late(-second, -second)
+	w.turn(-second, func() {})
+	w.turn(2*second, func() {})
+	if client, _ := w.stands(); w.sent[client] != "UP 7\r\n" || n.Count.Panics > 0 {
+		t.Errorf("after it answered %q, %d panics", w.sent[client], n.Count.Panics)
+	}
+}
+
+// TestVanished ends clients that say nothing, and those that take nothing, for longer than is allowed, and no others.
+func TestVanished(t *testing.T) {
+	n, w, _ := listening(t)
+	n.lim.Idle, n.lim.Stalled = 10*second, 5*second
+	quiet, _ := w.stands()
+	stuck, host := w.stands()
+	sound, soundHost := w.stands()
+	w.up[stuck] = false // takes nothing more
+	w.bytes(stuck, "say\r\n")
+	w.bytes(host, "say\r\n")
+	for range 9 {
+		w.turn(second, func() {})
+		w.bytes(sound, "say\r\n")
+		w.bytes(soundHost, "say\r\n")
+		if w.ended[stuck] == "" {
+			w.bytes(stuck, "say\r\n")
+			w.bytes(host, "say\r\n")
+		}
+	}
+	if w.ended[stuck] == "" || n.Count.Vanished != 1 {
+		t.Errorf("the stalled one ended %q, %d vanished", w.ended[stuck], n.Count.Vanished)
+	}
+	for range 3 {
+		w.turn(second, func() {})
+		w.bytes(sound, "say\r\n")
+		w.bytes(soundHost, "say\r\n")
+	}
+	if w.ended[quiet] == "" || w.ended[sound] != "" || n.Count.Vanished != 2 {
+		t.Errorf("the silent one ended %q, the sound one %q, %d vanished", w.ended[quiet], w.ended[sound], n.Count.Vanished)
+	}
+}
--- a/virtual/virtual_test.go
+++ b/virtual/virtual_test.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"coursewinch/capture"
+	"coursewinch/node"
 	"coursewinch/record"
 	"coursewinch/replay"
 	"io"
@@ -197,3 +198,54 @@
 		t.Errorf("service %.3f, replayed %.3f", a, b)
 	}
 }
+
+// TestSilentCrowd is ten thousand connections that say nothing: the usual clients have their descriptors all the same.
+func TestSilentCrowd(t *testing.T) {
+	r := run(t, "calm-evening", "length=\"12s\"", "node.sockets=200", `faults=[]`,
+		`demand.bad=[{at="1s",for="10s",rate=1000.0,kind="mute"}]`)
+	if len(r.Bad) < 9000 {
+		t.Fatalf("%d silent connections", len(r.Bad))
+	}
+	if a := r.Sum().Answers; a["established"] < len(r.Flows)-1 {
+		t.Errorf("answers %v", a)
+	}
+}
+
+// TestOneAddress is a tight loop from one address beside clients that come one each: with caps the others do not feel
+// it, and whoever is refused is told so.
+func TestOneAddress(t *testing.T) {
+	capped := run(t, "one-address", `demand.loops=[{at="3s",for="2s",count=120,one_address=true}]`)
+	open := run(t, "one-address", `demand.loops=[{at="3s",for="2s",count=120,one_address=true}]`, "node.admission={}")
+	if c, o := capped.Sum(), open.Sum(); c.Service < 0.99 || c.LateShare[0] > 0.01 || c.Answers["none"] > 0 || o.Service > c.Service {
+		t.Errorf("service %.3f with caps, %.3f without; late %.3f; answers %v", c.Service, o.Service, c.LateShare[0], c.Answers)
+	}
+}
+
+// TestChurnHolds wants what a node holds to stay on its level while clients vanish and the list changes each second.
+func TestChurnHolds(t *testing.T) {
+	s, err := scenario.Load("churn")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sums := map[string][2]float64{}
+	_, err = Play(s, Options{Watch: func(at int64, all map[int][]node.Hold) {
+		half := 0
+		if at > 40_000_000 {
+			half = 1
+		}
+		for _, h := range all[0] {
+			if v := sums[h.Purpose]; at > 20_000_000 && at <= 60_000_000 {
+				v[half] += float64(h.Count)
+				sums[h.Purpose] = v
+			}
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, purpose := range []string{"fd_client", "fd_new", "connections", "hosts", "groups", "logs", "deadlines"} {
+		if v := sums[purpose]; v[0] == 0 || math.Abs(v[1]/v[0]-1) > 0.15 {
+			t.Errorf("%s: %.0f in one twenty seconds, %.0f in the next", purpose, v[0]/20, v[1]/20)
+		}
+	}
+}
