--- a/epoll/loop.go
+++ b/epoll/loop.go
@@ -15,9 +15,11 @@
 // Handler hears of sockets by the ids that it gave them. An id is never used twice; its low half is below the number
 // of sockets that ever were open at once.
 type Handler interface {
-	Spare() bool // whether one more client's connection may be taken; if not, a Close makes the loop ask again
+	Quota() (take, refuse int) // how many new connections a turn may take, and after these turn away
+	Spare() bool               // whether one more client's connection may be taken; if not, a Close makes the loop ask again
 	// Accept takes a client's connection from an address; ok is false where it is not taken, and the loop refuses it.
 	Accept(from netip.AddrPort) (id uint64, in, out *lines.Ring, ok bool)
+	Refused() // one was turned away
 	Connected(id uint64)
 	Received(id uint64)         // there is more in its ring
 	Sent(id uint64)             // there is more room in its ring
@@ -184,7 +186,17 @@
 }
 
 func (l *Loop) accept() {
-	for range atOnce {
+	take, refuse := l.h.Quota()
+	for i := range min(take+refuse, atOnce) {
+		if i >= take {
+			fd, _, err := unix.Accept4(l.listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			l.refuse(fd)
+			l.h.Refused()
+			continue
+		}
 		if !l.h.Spare() || l.Room() < 1 {
 			l.listen(false) // guards against spinning on a queue that can't be served
 			return
--- a/epoll/loop_test.go
+++ b/epoll/loop_test.go
@@ -11,7 +11,9 @@
 
 type heard struct{ ended []uint64 }
 
-func (h *heard) Spare() bool { return true }
+func (h *heard) Spare() bool       { return true }
+func (h *heard) Quota() (int, int) { return atOnce, 0 }
+func (h *heard) Refused()          {}
 func (h *heard) Accept(netip.AddrPort) (uint64, *lines.Ring, *lines.Ring, bool) {
 	return 0, nil, nil, true
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,7 +15,7 @@
 func (n *nobody) Stop(int)                {}
 func (n *nobody) Reload(int, Conf)        {}
 func (n *nobody) Starve(int, float64)     {}
-func (n *nobody) Arrive(*Conn)            {}
+func (n *nobody) Arrive(*Conn) bool       { return true }
 func (n *nobody) Up(*Conn)                {}
 func (n *nobody) Refused(*Conn)           {}
 func (n *nobody) Bytes(_ *Conn, b []byte) { n.bytes = append(n.bytes, string(b)) }
--- a/fleet/net.go
+++ b/fleet/net.go
@@ -15,7 +15,7 @@
 	Stop(no int)                        // told to end in order
 	Reload(no int, conf Conf)           // told to read its file again
 	Starve(no int, share float64)       // so much of its core is taken by others
-	Arrive(c *Conn)                     // a client's connection has come to its listener
+	Arrive(c *Conn) bool                // a client's connection has come to its listener; false: its queue is full
 	Up(c *Conn)                         // a connection that it asked for is up
 	Refused(c *Conn)                    // or will not come
 	Bytes(c *Conn, p []byte)            // have come
@@ -159,9 +159,18 @@
 // open is a peer's connection to a node. It hears up, or ended.
 func (w *World) open(p peer, node int, from netip.Addr) *Conn {
 	c := &Conn{Node: node, Host: -1, Client: true, peer: p, From: netip.AddrPortFrom(from, 0), way: way{node, clients}, run: w.nodes[node].run}
+	w.knock(c, p)
+	return c
+}
+
+const again = second // after which a system asks again for a connection that was dropped
+
+// knock asks for a connection.
+func (w *World) knock(c *Conn, p peer) {
+	node := c.Node
 	w.carry(c, &c.toNode, func() {
 		n := w.nodes[node]
-		if c.dead {
+		if c.dead || c.peerDone {
 			return
 		}
 		if !n.running || !n.listening {
@@ -169,8 +178,11 @@
 			return
 		}
 		c.run = n.run
+		if !w.side.Arrive(c) {
+			w.after(again, func() { w.knock(c, p) })
+			return
+		}
 		n.conns = append(n.conns, c)
-		w.side.Arrive(c)
 		w.carry(c, &c.toPeer, func() {
 			if !c.dead && !c.peerDone {
 				c.isUp = true
@@ -178,7 +190,6 @@
 			}
 		})
 	})
-	return c
 }
 
 // say sends a peer's bytes to the node; told is called when they have come.
--- a/live/sockets.go
+++ b/live/sockets.go
@@ -89,7 +89,7 @@
 }
 
 // Arrive opens a client's connection.
-func (p *player) Arrive(c *fleet.Conn) {
+func (p *player) Arrive(c *fleet.Conn) bool {
 	s := &sock{p: p, conn: c}
 	c.Ref = s
 	addr := p.nodes[c.Node].addr
@@ -114,6 +114,7 @@
 			s.read()
 		})
 	}()
+	return true
 }
 
 // read starts the goroutine that tells what the node sends.
--- a/node/conns.go
+++ b/node/conns.go
@@ -82,6 +82,7 @@
 
 // Accept takes a new connection of a client; ok is false where its address may have no more, and the loop refuses it.
 func (n *Node) Accept(from netip.AddrPort) (id uint64, in, out *lines.Ring, ok bool) {
+	n.taking.tried++
 	c := &conn{role: fresh, up: true}
 	if n.gate != nil {
 		c.gated = admission.Key(from.Addr())
--- a/node/late.go
+++ b/node/late.go
@@ -20,6 +20,7 @@
 // took. Microseconds.
 func (n *Node) Late(late, before int64) {
 	n.own.late = max(late, 0)
+	n.pace(n.own.late, before)
 	before = min(max(before, 0), second)
 	n.own.long[n.own.turn%keptTurns] = int32(before)
 	n.own.turn++
--- a/node/node.go
+++ b/node/node.go
@@ -195,6 +195,7 @@
 	room              deadline
 	logs              map[string]*kind
 	own               lateness
+	taking            quota
 	lim               Limits
 	gate              *admission.Gate // nil: every connection is taken
 	probing           int             // probes out
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -54,7 +54,7 @@
 func (r *rogue) Starve(int, float64)         {}
 func (r *rogue) Listening(int, bool)         {}
 func (r *rogue) Refused(c *fleet.Conn)       { r.finish(c) }
-func (r *rogue) Arrive(c *fleet.Conn)        { r.live[c] = &pair{client: c} }
+func (r *rogue) Arrive(c *fleet.Conn) bool   { r.live[c] = &pair{client: c}; return true }
 func (r *rogue) after(us int64, what func()) { r.w.At(r.w.Now()+us, what) }
 
 func (r *rogue) Bytes(c *fleet.Conn, b []byte) {
--- a/scenario/check.go
+++ b/scenario/check.go
@@ -15,7 +15,7 @@
 		Fleet: Fleet{PerCore: 16, Cap: 2.5, SetupWork: 8 * ms, ProbeWork: 250, Slots: 4, Queue: 16, Cold: 0.12,
 			ColdTime: 22 * second, Multiple: 3, FallAfter: 3 * second, Drain: "none", Buffer: second, Sheds: "none",
 			Echo: "at_once", TellsLoad: true, LoadSpread: 0.6, Swing: 0.3, Change: 8 * second, LifeSpread: 0.8},
-		Node:      Node{Sockets: 1024, MemoryMB: 192, MaxConnects: 6, Probing: true, DrainGrace: 300 * ms, Dial: 250 * ms},
+		Node:      Node{Sockets: 1024, MemoryMB: 192, MaxConnects: 6, Probing: true, DrainGrace: 300 * ms, Dial: 250 * ms, Backlog: 1024},
 		Discovery: Discovery{Notice: 1500 * ms, Period: 400 * ms},
 		Front:     Front{Notice: 2 * second},
 		Clients: Clients{Retries: 2, Wait: "fixed", Pause: 100 * ms, Honour: 1, Back: [2]Span{120 * ms, 1200 * ms},
@@ -192,6 +192,7 @@
 	f.number("node.max_connects", float64(n.MaxConnects), 1, 100)
 	f.span("node.drain_grace", n.DrainGrace, 0, 60*second)
 	f.span("node.max_wait", n.MaxWait, 0, 60*second)
+	f.number("node.backlog", float64(n.Backlog), 1, 1e6)
 	f.span("node.dial_timeout", n.Dial, ms, 60*second)
 	f.number("node.holding.buffers", float64(n.Holding.Buffers), 0, 1e6)
 	f.span("node.holding.idle", n.Holding.Idle, 0, hour)
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -136,6 +136,7 @@
 	DrainGrace  Span `toml:"drain_grace"`
 	MaxWait     Span `toml:"max_wait"` // that clients obey when told to come again later; 0: they are not told
 	Dial        Span `toml:"dial_timeout"`
+	Backlog     int  `toml:"backlog"` // connections that wait at the listener at the most
 
 	Admission Admission `toml:"admission"`
 	Holding   Holding   `toml:"holding"`
--- a/virtual/virtual.go
+++ b/virtual/virtual.go
@@ -195,12 +195,16 @@
 
 func (p *player) Starve(no int, share float64) { p.nodes[no].starved = min(share, 0.999) }
 
-func (p *player) Arrive(c *fleet.Conn) {
+func (p *player) Arrive(c *fleet.Conn) bool {
 	v := p.nodes[c.Node]
+	if len(v.arrived) >= p.s.Node.Backlog {
+		return false // the system drops it
+	}
 	s := &sock{c: c, life: v.life}
 	c.Ref = s
 	v.arrived = append(v.arrived, s)
 	v.wake()
+	return true
 }
 
 // came notes what came for a socket; nil when the node doesn't have it any more.
@@ -331,7 +335,16 @@
 }
 
 func (v *vnode) accept() {
-	for len(v.arrived) > 0 {
+	take, refuse := v.n.Quota()
+	for i := 0; len(v.arrived) > 0 && i < take+refuse; i++ {
+		if i >= take {
+			s := v.arrived[0]
+			v.arrived = v.arrived[1:]
+			v.cost += float64(v.p.s.Node.Socket)
+			v.refuse(s)
+			v.n.Refused()
+			continue
+		}
 		if !v.n.Spare() || v.Room() < 1 {
 			return
 		}
