--- a/virtual/virtual_test.go
+++ b/virtual/virtual_test.go
@@ -249,3 +249,30 @@
 		}
 	}
 }
+
+// TestGoodput offers ten times what one core can set up for four seconds: what it establishes stays at what it can do, in
+// time, and it is back to normal within two seconds.
+func TestGoodput(t *testing.T) {
+	r := run(t, "overload")
+	var by [9]int
+	for _, f := range r.Flows {
+		if word, at := f.Answer(); word == "established" && at < 9_000_000 {
+			by[at/1_000_000]++
+		}
+	}
+	const can = 1340 // a second: the peak where demand is just that much, of the same costs
+	for s := 2; s < 5; s++ {
+		if by[s] < can*9/10 {
+			t.Errorf("%d established in second %d, %d possible", by[s], s, can)
+		}
+	}
+	if by[7] < 430 {
+		t.Errorf("two seconds after the flood %d of 500 are established", by[7])
+	}
+	s := r.Sum()
+	for typ, target := range r.Types {
+		if p99 := record.Quantile(s.Setups[typ], 0.99); p99 > target.Target {
+			t.Errorf("%s: p99 of set-ups %d us, target %d", target.Name, p99, target.Target)
+		}
+	}
+}
