--- /dev/null
+++ b/deploy/deploy_test.go
@@ -0,0 +1,125 @@
+// Package deploy holds operators' files; its tests build and start the programs as the files say.
+package deploy
+
+import (
+	"bytes"
+	"debug/elf"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+const settingsText = `{"Balancers":1,"Index":0,"MyZone":0,"Localities":["a"],"Discovery":"on_request",
+"Limits":{"MaxConnects":3,"MaxRetryAfterMs":1000.0,"Probing":true,"RetryAfter":true,"DialTimeoutMs":250.0},
+"Obligations":{"AskWithinMs":10000.0,"ColdFrom":0.1,"ColdMs":20000.0,"FallMultiple":3.0},
+"ServiceTypes":[{"Name":"chat","Benefit":1.0,"Effect":"safe","SetupTargetMs":300.0,"HardLimitMs":2000.0}],
+"Specifics":{"Groups":true,"Mode":"proxy","MessageAimMs":[60.0]}}`
+
+type file struct{ Build, Run, Sim string }
+
+// built reads balancer.toml and runs its build line, from the root as operators do.
+func built(t *testing.T) (root string, f file) {
+	t.Helper()
+	root, err := filepath.Abs("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile("balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := toml.Unmarshal(text, &f); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command("/bin/sh", "-c", f.Build)
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", f.Build, err, out)
+	}
+	return root, f
+}
+
+func shell(root, line string) *exec.Cmd {
+	cmd := exec.Command("/bin/sh", "-c", line)
+	cmd.Dir = root
+	return cmd
+}
+
+// Guards the platform's terms: libraries can be loaded into the node, `run` ends as that one process, and it ends well.
+func TestBuildAndRunAsTheFileSays(t *testing.T) {
+	root, f := built(t)
+	program, ok := strings.CutPrefix(f.Run, "exec ")
+	if !ok {
+		t.Fatalf("run %q does not end by exec", f.Run)
+	}
+	e, err := elf.Open(filepath.Join(root, program))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	if libs, err := e.ImportedLibraries(); err != nil || !strings.HasPrefix(strings.Join(libs, " ")+" ", "libc.so") {
+		t.Fatalf("linked against %v, %v", libs, err)
+	}
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+		"seed": "1", "known": nil, "settings": json.RawMessage(settingsText)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := shell(root, f.Run)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+path)
+	said, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	late := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
+	defer late.Stop()
+	var text []byte
+	for buf := make([]byte, 4096); !bytes.Contains(text, []byte("msg=started")); {
+		n, err := said.Read(buf)
+		if text = append(text, buf[:n]...); err != nil {
+			t.Fatalf("%v: %s", err, text)
+		}
+	}
+	_, at, _ := strings.Cut(string(text), " listen=")
+	at, _, _ = strings.Cut(at, " ")
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "PING\r\n")
+	pong := make([]byte, 6)
+	if _, err := io.ReadFull(c, pong); err != nil || string(pong) != "PONG\r\n" {
+		t.Fatalf("%q, %v", pong, err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	rest, _ := io.ReadAll(said)
+	if err := cmd.Wait(); err != nil || !bytes.Contains(rest, []byte("msg=stopped")) {
+		t.Fatalf("%v: %s", err, rest)
+	}
+}
+
+func TestTheAdapterStillRuns(t *testing.T) {
+	root, f := built(t)
+	cmd := shell(root, f.Sim)
+	cmd.Stdin = strings.NewReader("mark\t8412.25\nover_to_you\n")
+	if out, err := cmd.Output(); err != nil || string(out) != "finished\n" {
+		t.Fatalf("%q, %v", out, err)
+	}
+}
