Message times told with the word for loads are read as such; one cold budget for all nodes

Second: hosts that came back cold got 0 to 2 flows in ten seconds beside drowned ones: the budget in passOver was two times the multiple of a node's own fresh flows, 0.002 a second at such a node. Third: a group looks large to a node that knows two flows; homes all over. Change: node/figures.go tells loads from message times; a cold server's budget goes by own flows held, comes at random moments and lapses after the window; a group's share of thin evidence is drawn to nought, two homes besides.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,12 +31,15 @@
 	keepRank    = 32  // samples in a server's histogram before it is halved
 	keepAll     = 256 // samples in a node's
 	slowHold    = 1_600_000
-	budgetShare = 2.0 // of what one server usually gets, times the stated multiple
+	budgetShare = 3.0  // of the flows of a server like it, times the stated multiple, within its warm-up
+	slotKept    = 3.0  // seconds
+	heldLeft    = 0.99 // of the flows that this node held a tenth of a second ago
 	limitCut    = 0.8
 	limitGain   = 0.03   // of itself a second, of the mean share at least
 	limitFloor  = 0.5    // of the mean share for its size
 	moveShare   = 0.12   // of a slow server's own load a second
-	spread      = 4.0    // servers by hash that a group keeps to, besides its share of the flows
+	spread      = 2.0    // servers by hash that a group keeps to, besides its share of the flows
+	thin        = 20.0   // flows of other groups that are taken for granted
 	tightShare  = 0.6    // of these while many servers are unwell
 	wellShare   = 0.75   // of the servers, over which groups may go anywhere
 	firstLoad   = 30_000 // of a flow of any service type until one has been told, microseconds of work a second
@@ -147,7 +150,7 @@
 		b.giveUp(f)
 		return
 	}
-	best.budget = max(best.budget-1, 0)
+	best.slot = best.budget + b.rng.ExpFloat64()
 	f.server, f.sent = best, b.now
 	f.Tries++
 	best.add(f)
@@ -213,7 +216,7 @@
 	if f.Group == nil {
 		return 0, false, 1
 	}
-	n, all, used, well := float64(len(b.servers)), 1.0, 0.0, 0.0
+	n, all, used, well := float64(len(b.servers)), thin, 0.0, 0.0
 	for _, s := range b.servers {
 		all += float64(len(s.flows) + s.taken)
 		if s.load > 0 || b.now-s.triedAt < 3*second {
@@ -225,7 +228,7 @@
 	}
 	homes := spread + n*float64(f.Group.count+f.Group.taken)/all
 	if tight = used > 0 && well <= used*wellShare; tight {
-		homes *= tightShare
+		homes = max(homes*tightShare, spread)
 	}
 	return 1 - homes/n, tight, (well + 2) / (used + 2)
 }
@@ -249,14 +252,18 @@
 	warm := b.warm(s)
 	if warm < 1 {
 		// Guards against all nodes together pushing over a cold server, over any window and from its first
-		// instant: it gets what this node usually connects to one server, times the share it can bear.
-		rate := b.fresh.PerSecond(b.now) / float64(len(b.servers)) * warm * budgetShare * b.set.FallMultiple
-		s.budget = min(s.budget+rate*float64(b.now-s.budgetAt)/second, 1.5)
-		if s.budgetAt = b.now; s.budget < 1 {
+		// instant. It takes as many flows as one like it holds within its warm-up, times what it can bear. Of
+		// those each node has what its own flows are of all, at random moments; unused they lapse after the
+		// window: kept, those of many nodes would be spent in one instant.
+		rate := budgetShare * b.set.FallMultiple * warm * b.held / float64(len(b.servers)) * second /
+			float64(b.set.ColdTime)
+		s.budget += rate * float64(b.now-s.budgetAt) / second
+		if s.budgetAt = b.now; s.budget > s.slot+slotKept*rate {
+			s.slot = s.budget - slotKept*rate + b.rng.ExpFloat64()
+		}
+		if s.budget < s.slot {
 			return true
 		}
-	} else {
-		s.budget = 1
 	}
 	if b.now < s.rampTo {
 		warm = min(warm, 1-(1-rampStart)*float64(s.rampTo-b.now)/rampTime)
@@ -383,7 +390,9 @@
 	b.setups[f.TypeNo].Add(took, keepAll)
 	b.measure(s, took)
 	if b.every.Add(took, keepAll); b.set.Untold && b.every.Total() >= 4 {
-		b.Slow(s, took-setupSlow*b.every.Quantile(0.5)) // guards a busy server where only set-ups show it
+		if us := took - setupSlow*b.every.Quantile(0.5); us > b.tightest/3 || b.now-s.slowAt > second/2 {
+			b.Slow(s, us) // guards a busy server where only set-ups show it
+		}
 	}
 	if !f.Again {
 		b.fresh.Add(b.now) // guards cold servers from a rate that a crowd of returning clients drives up
@@ -601,7 +610,7 @@
 		}
 	}
 	if started > s.Started {
-		s.budget, s.budgetAt, s.limit = b.rng.Float64(), b.now, noLimit
+		s.budget, s.slot, s.budgetAt, s.limit = 0, b.rng.ExpFloat64(), b.now, noLimit
 		s.latency.Reset()
 		s.failures, s.skipped, b.void = 0, false, true
 	}
@@ -637,8 +646,9 @@
 	}
 	b.rank()
 	b.nextAt, b.dueAt = never, b.now+second/10
-	mean := b.mean()
+	mean, held := b.mean(), 0
 	for _, s := range b.servers {
+		held += len(s.flows)
 		if s.slow > 0 && b.now-s.slowAt > slowHold {
 			s.slow = 0
 		}
@@ -667,6 +677,7 @@
 			b.nextAt = min(b.nextAt, s.probeAt)
 		}
 	}
+	b.held = max(b.held*heldLeft, float64(held))
 	b.dueAt = min(b.dueAt, b.nextAt)
 	return min(next, b.nextAt)
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -81,6 +81,7 @@
 	known    map[uint64]float64 // loads of keys that may come again
 	tightest int64              // the shortest message target
 	fresh    Rate               // connects of clients that had not come before
+	held     float64            // own flows, of late
 
 	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
 	paceAt  int64
@@ -164,7 +165,8 @@
 	failedAt int64
 	triedAt  int64
 	rampTo   int64
-	budget   float64
+	budget   float64 // set-ups due to it from this node while it is cold
+	slot     float64 // the budget at which the next may be made
 	budgetAt int64
 	growAt   int64
 	cutAt    int64
--- a/node/conns.go
+++ b/node/conns.go
@@ -532,7 +532,8 @@
 		}
 		if len(h.took) > 0 {
 			slices.Sort(h.took)
-			if us := h.took[len(h.took)/2]; us > n.slowFrom || h.told {
+			own := n.now-h.figures.told > loadHeld || h.figures.told == 0
+			if us := h.took[len(h.took)/2]; own && (us > n.slowFrom || h.told) {
 				h.told = us > n.slowFrom
 				n.b.Slow(&h.Server, us)
 			}
--- /dev/null
+++ b/node/figures_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"coursewinch/balance"
+)
+
+// heardOf is a decider that keeps what it hears of loads and message times.
+type heardOf struct {
+	Decider
+	words []string
+}
+
+func (d *heardOf) Load(f *balance.Flow, perSecond float64) {
+	d.words = append(d.words, fmt.Sprintf("load %.0f", perSecond))
+	d.Decider.Load(f, perSecond)
+}
+
+func (d *heardOf) Slow(s *balance.Server, us int64) {
+	d.words = append(d.words, fmt.Sprintf("slow %d", us))
+	d.Decider.Slow(s, us)
+}
+
+// A host that drowned told message times with the word for loads, and so looked all but empty (all days at size).
+func TestMessageTimesAreNoLoads(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		tells bool
+		after []int64 // since the figure before
+		told  []string
+		want  string
+	}{
+		{"a series is of message times, and so is its end", true, []int64{ms, 400 * ms, second + 9*ms, second - 9*ms},
+			[]string{"60000", "9000", "174.5", "9.1"}, "[load 60000 load 9000 slow 174500 slow 9100]"},
+		{"a load does not fall to a hundredth at once", true, []int64{ms, 700 * ms},
+			[]string{"60000", "600"}, "[load 60000 slow 600000]"},
+		{"light loads stay loads", true, []int64{ms}, []string{"900"}, "[load 900]"},
+		{"a first figure that comes late is a message time", true, []int64{300 * ms}, []string{"900"}, "[slow 900000]"},
+		{"no message takes longer than clients wait", true, []int64{ms, second, second}, []string{"90000", "2001", "2300"},
+			"[load 90000 load 2001 load 2300]"},
+		{"where hosts tell none, all are loads", false, []int64{ms, 700 * ms, second}, []string{"60000", "600", "500"},
+			"[load 60000 load 600 load 500]"},
+	} {
+		n, w := ready(1)
+		n.set.TellsTime = c.tells
+		d := &heardOf{Decider: n.b}
+		n.b = d
+		_, host := w.stands()
+		for i, told := range c.told {
+			w.turn(c.after[i]-1, func() {})
+			w.bytes(host, "LOAD "+told+"\r\n")
+		}
+		if got := fmt.Sprint(d.words); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/node/flows.go
+++ b/node/flows.go
@@ -269,7 +269,7 @@
 	f.client.out.Put(line)
 	c.in.Drop(len(line))
 	n.captureAnswer(f, capture.Established)
-	f.stage, f.open = Established, nil
+	f.stage, f.open, f.stoodAt = Established, nil, n.now
 	n.standing++
 	f.client.heard = n.now
 	if f.group != nil {
@@ -374,8 +374,7 @@
 			answered = answered || word != lines.Load
 			switch word {
 			case lines.Load:
-				n.captureLoad(f, load)
-				n.b.Load(&f.Flow, load)
+				n.figure(f, load)
 			case lines.Bye, lines.Move:
 				f.last = word
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,7 @@
 	probeEnd deadline // when it is given up
 	unsent   bool     // for want of a descriptor
 	took     []int64  // by messages, since they were last told
+	figures  figures
 	ages     []int64
 	told     bool
 }
@@ -168,7 +169,9 @@
 	askedAt int64      // the first line passed to the host that nothing came back for; 0 for none
 	echo    span       // of the first line that nothing came back for
 	timer   deadline
-	seen    *seen // for the capture; nil without one
+	stoodAt int64   // when it was established
+	told    float64 // its load by its host's last word
+	seen    *seen   // for the capture; nil without one
 }
 
 // Node is one node.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,13 +67,14 @@
 // Settings are those of the module and what the doors read besides.
 type Settings struct {
 	balance.Settings
-	Passes  bool           // packets pass through in place of ending at the node
-	Names   map[string]int // of the service types
-	Zones   map[string]int
-	Groups  bool    // clients belong to groups that share work
-	Dial    int64   // a connection that is not up by then will not come
-	Longest int64   // connect timeout of any service type
-	Limits  []int64 // connect timeouts of the service types; 0 where none is stated
+	Passes    bool           // packets pass through in place of ending at the node
+	Names     map[string]int // of the service types
+	Zones     map[string]int
+	Groups    bool    // clients belong to groups that share work
+	TellsTime bool    // hosts tell how long messages take
+	Dial      int64   // a connection that is not up by then will not come
+	Longest   int64   // connect timeout of any service type
+	Limits    []int64 // connect timeouts of the service types; 0 where none is stated
 }
 
 // Pairs reads the simulator's form, PATH=VALUE a part.
@@ -163,7 +164,7 @@
 		ColdTime:     c.time("Obligations.ColdMs", 0),
 		FallMultiple: c.number("Obligations.FallMultiple", 0),
 	}, Names: map[string]int{}, Zones: map[string]int{}, Passes: values["Specifics.Mode"] == "pass",
-		Groups: values["Specifics.Groups"] == "true"}
+		Groups: values["Specifics.Groups"] == "true", TellsTime: values["Specifics.TellsDelay"] == "true"}
 	if c.flag("Limits.RetryAfter") {
 		s.MaxWait = c.time("Limits.MaxRetryAfterMs", 0)
 	}
