--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,7 +31,7 @@
 	keepRank    = 32  // samples in a server's histogram before it is halved
 	keepAll     = 256 // samples in a node's
 	slowHold    = 1_600_000
-	budgetShare = 3.0  // of the flows of a server like it, times the stated multiple, within its warm-up
+	budgetShare = 2.5  // of the flows of a server like it, times the stated multiple, within its warm-up
 	slotKept    = 3.0  // seconds
 	heldLeft    = 0.99 // of the flows that this node held a tenth of a second ago
 	limitCut    = 0.8
@@ -255,8 +255,7 @@
 		// instant. It takes as many flows as one like it holds within its warm-up, times what it can bear. Of
 		// those each node has what its own flows are of all, at random moments; unused they lapse after the
 		// window: kept, those of many nodes would be spent in one instant.
-		rate := budgetShare * b.set.FallMultiple * warm * b.held / float64(len(b.servers)) * second /
-			float64(b.set.ColdTime)
+		rate := budgetShare * b.set.FallMultiple * warm * b.held * second / float64(b.set.ColdTime)
 		s.budget += rate * float64(b.now-s.budgetAt) / second
 		if s.budgetAt = b.now; s.budget > s.slot+slotKept*rate {
 			s.slot = s.budget - slotKept*rate + b.rng.ExpFloat64()
@@ -677,7 +676,7 @@
 			b.nextAt = min(b.nextAt, s.probeAt)
 		}
 	}
-	b.held = max(b.held*heldLeft, float64(held))
+	b.held = max(b.held*heldLeft, float64(held)/float64(max(len(b.servers), 1)))
 	b.dueAt = min(b.dueAt, b.nextAt)
 	return min(next, b.nextAt)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -112,7 +112,7 @@
 			b.Entry(b.servers[0], Up, 1, b.now)
 			for range 300 { // 200 flows a second from all nodes, for 3 s
 				b.now += 10_000
-				b.held = 800 / float64(nodes) // 200 on each server
+				b.held = 200 / float64(nodes) // on each server
 				if b.rng.Intn(nodes) < 2 {
 					b.place(b.flow())
 				}
--- a/balance/types.go
+++ b/balance/types.go
@@ -81,7 +81,7 @@
 	known    map[uint64]float64 // loads of keys that may come again
 	tightest int64              // the shortest message target
 	fresh    Rate               // connects of clients that had not come before
-	held     float64            // own flows, of late
+	held     float64            // own flows on a server, of late
 
 	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
 	paceAt  int64
