Calls to discovery spread over the nodes told, refusals waited out in doubling steps

All 80 asked in one instant at the start and 0.5 to 1 s after each refusal (List in balance.go); discovery bears about 10 a second there. Harmless from one node. Ruled out: the node's own time-out (59 of 1,162 calls). Change: the first call is made within 50 ms a node told, a quarter of the stated time at most; refusals double the wait.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,7 @@
 	keepAll     = 256 // samples in a node's
 	slowHold    = 1_600_000
 	budgetShare = 2.5  // of the flows of a server like it, times the stated multiple, within its warm-up
-	slotKept    = 3.0  // seconds
+	slotKept    = 6.0  // seconds
 	heldLeft    = 0.99 // of the flows that this node held a tenth of a second ago
 	limitCut    = 0.8
 	limitGain   = 0.03   // of itself a second, of the mean share at least
@@ -47,7 +47,9 @@
 	mostHint    = 100.0 // times the mean of its service type
 	paceStart   = 0.5   // connects a second, besides three times the usual rate
 	paceLeast   = 0.1
-	shareLeast  = 5 // servers in a node's share, and nodes that share a server
+	askSpread   = 50_000    // a node, within which all nodes ask for their first list
+	askStood    = 3_000_000 // a watch that stood for so long was no refusal
+	shareLeast  = 5         // servers in a node's share, and nodes that share a server
 	never       = int64(1) << 62
 	noLimit     = 1e18
 )
@@ -67,7 +69,7 @@
 func (b *Balancer) Round(now int64, in func(*Balancer), out Writer) {
 	b.now, b.out = now, out
 	if b.started < 0 {
-		b.started, b.askAt, b.fresh = now, now, Rate{from: now, at: now}
+		b.started, b.askAt, b.fresh = now, now+b.spread(), Rate{from: now, at: now}
 	}
 	in(b)
 	next := b.release(b.due())
@@ -586,13 +588,18 @@
 
 func (b *Balancer) List(kind ListKind) {
 	if kind == Refused {
-		b.watching, b.asking = false, false
-		b.askAt = b.now + second/2 + b.rng.Int63n(second/2)
+		if b.watching && b.now-b.heardAt > askStood {
+			b.refused = 0
+		}
+		// Guards a discovery that all nodes ask again together, and with it them: refused, each waits twice as long.
+		wait := min(second<<min(b.refused, 10), max(b.set.AskWithin, second))
+		b.askAt = b.now + wait/2 + b.rng.Int63n(wait/2)
+		b.watching, b.asking, b.refused = false, false, b.refused+1
 		b.log("list stale: the call failed")
 		return
 	}
 	if kind != Remembered && b.asking {
-		b.watching, b.asking = true, false
+		b.watching, b.asking, b.heardAt = true, false, b.now
 	}
 	for _, s := range b.servers {
 		s.Seen = s.Seen && kind == Changes
@@ -628,6 +635,12 @@
 	}
 }
 
+// spread is when a node that starts asks for its first list. Guards discovery against a fleet that starts at once; what
+// it knows from before serves meanwhile.
+func (b *Balancer) spread() int64 {
+	return b.rng.Int63n(max(min(askSpread*int64(b.set.Nodes-1), b.set.AskWithin/4), 1))
+}
+
 // due does what time asks for and returns when it must next be called.
 func (b *Balancer) due() int64 {
 	next := never
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -367,6 +367,53 @@
 	w.want(t, "watch", "watch")
 }
 
+// Eighty nodes asked in the instant of their start and then twice a second each: discovery turned all away for the rest of
+// the day (herd+vast).
+func TestAFleetSpreadsItsCalls(t *testing.T) {
+	const nodes = 80
+	first, calls := map[int64]int{}, map[int64]int{} // by quarters of a second, and by seconds
+	for i := range nodes {
+		b, w := start(3, Repeatable, ScopeAll)
+		b.set.OnRequest, b.set.Nodes, b.rng = true, nodes, rand.New(rand.NewSource(int64(i)))
+		b.askAt = b.now + b.spread()
+		from, asked := b.now, 0
+		for b.now < from+30*second {
+			b.now += 50_000
+			if b.due(); w.count("watch") > asked {
+				if asked++; asked == 1 {
+					first[(b.now-from)/250_000]++
+				}
+				calls[(b.now-from)/second]++
+				b.List(Refused)
+				b.ListEnd(Refused)
+			}
+		}
+	}
+	for at, n := range first {
+		if n > nodes/4 {
+			t.Errorf("%d first calls in one quarter of a second (%d)", n, at)
+		}
+	}
+	for at, n := range calls {
+		if at >= 10 && n > nodes/4 {
+			t.Errorf("%d calls in second %d though all were refused", n, at)
+		}
+	}
+}
+
+// Guards a lone node, and one whose watch stood, against waiting without need.
+func TestOneRefusalIsAskedAgainSoon(t *testing.T) {
+	b, _ := start(3, Repeatable, ScopeAll)
+	b.set.Nodes = 1
+	if b.spread() != 0 {
+		t.Fatal("a lone node waits")
+	}
+	b.refused, b.watching, b.heardAt = 6, true, b.now-4*second
+	if b.List(Refused); b.askAt > b.now+second {
+		t.Fatal(b.askAt - b.now)
+	}
+}
+
 func TestProbesWithinFiveSeconds(t *testing.T) {
 	b, w := start(1, Repeatable, ScopeAll)
 	b.set.Probing = true
--- a/balance/types.go
+++ b/balance/types.go
@@ -92,6 +92,8 @@
 	watching bool
 	asking   bool
 	askAt    int64
+	heardAt  int64 // when the watch began
+	refused  int   // calls in a row
 	dueAt    int64 // when the servers must next be gone through
 	nextAt   int64 // and when the first probe is due
 	alarmAt  int64
