A fleet moves flows off a draining host as fast as one node would

Seen (join+vast): 27 to 36 moves in the second in which three hosts were told to drain, each the only flow of its node; the hosts left drowned, as those that replace them were cold. due() moves ten a second and node: harmless from one, 800 from eighty. Change: each node moves with a chance of one in the nodes told. The jitter of asking discovery again is the whole wait, so that waves of refusals spread.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -592,8 +592,8 @@
 			b.refused = 0
 		}
 		// Guards a discovery that all nodes ask again together, and with it them: refused, each waits twice as long.
-		wait := min(second<<min(b.refused, 10), max(b.set.AskWithin, second))
-		b.askAt = b.now + wait/2 + b.rng.Int63n(wait/2)
+		wait := min(second*2/3<<min(b.refused, 10), max(b.set.AskWithin, second))
+		b.askAt = b.now + wait/2 + b.rng.Int63n(wait)
 		b.watching, b.asking, b.refused = false, false, b.refused+1
 		b.log("list stale: the call failed")
 		return
@@ -669,7 +669,9 @@
 			s.growAt = b.now
 		}
 		if b.set.Untold && s.State == Draining {
-			b.even(s, -1) // guards clients against being cut off when their server leaves
+			if b.rng.Intn(max(b.set.Nodes, 1)) == 0 { // all nodes together as fast as one: the rest must hold them
+				b.even(s, -1) // guards clients against being cut off when their server leaves
+			}
 		} else if b.set.Untold {
 			b.even(s, capUntold*mean*s.Size*b.warm(s))
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -780,6 +780,29 @@
 	}
 }
 
+// Sixty flows left three draining servers in one second, each the only one of its node, for servers that drowned by it
+// (join+vast): together, eighty nodes move as many a second as one would.
+func TestAFleetMovesOffADrainingServerNoFasterThanANode(t *testing.T) {
+	const nodes = 80
+	at := map[int64]int{}
+	for i := range nodes {
+		b, w := start(2, Repeatable, ScopeAll)
+		b.set.Untold, b.set.Nodes, b.rng = true, nodes, rand.New(rand.NewSource(int64(i)))
+		b.fill(b.servers[0], 1, 30_000)
+		b.Entry(b.servers[0], Draining, 1, 0)
+		for k := range 100 {
+			b.now, b.void = b.now+second/10, true
+			if b.due(); w.count("move") > 0 {
+				at[int64(k/10)]++
+				break
+			}
+		}
+	}
+	if at[0] < 2 || at[0] > 25 || at[0]+at[1]+at[2]+at[3] < 20 {
+		t.Fatal(at)
+	}
+}
+
 // Guards a busy server where only set-ups show it.
 func TestSlowSetUpsCountWhereNobodyTells(t *testing.T) {
 	for _, untold := range []bool{false, true} {
