From a slow host the flows away from their group's homes leave first, and whole

Seen (groups counted by host and second): four to six groups of flows stood on 15 to 27 pairs of group and host at 80 nodes. Each pair costs three mean loads, so that it came to as much as all flows (join+vast: 4.3 to 7.3 cores of 12.6 that were left; the flows 4.5). A node with one or two flows sees none of that; shift() took the heaviest, and none could tell a remnant. Change: in shift() flows away from the first servers of their group by hash, alike at every node, go first, and for certain where flows at home go by chance; a server slow by its own word is left out 4 s, not 1.6, as all 80 forgot in turn.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	rampStart   = 0.3
 	keepRank    = 32  // samples in a server's histogram before it is halved
 	keepAll     = 256 // samples in a node's
-	slowHold    = 1_600_000
+	slowHold    = 4_000_000
 	budgetShare = 2.5  // of the flows of a server like it, times the stated multiple, within its warm-up
 	slotKept    = 6.0  // seconds
 	heldLeft    = 0.99 // of the flows that this node held a tenth of a second ago
@@ -534,16 +534,26 @@
 	}
 }
 
+// strays tells whether a flow stands away from the first servers of its group.
+func (b *Balancer) strays(f *Flow, s *Server) bool {
+	if f.Group == nil {
+		return false
+	}
+	near, _, _ := b.near(f)
+	return share(f.Group.Hash^s.Hash) < near
+}
+
 // shift moves the heaviest flows until the amount is reached; one at least.
 func (b *Balancer) shift(s *Server, amount float64) {
 	for amount > 0 {
 		var top *Flow
 		for _, f := range s.flows {
-			if f.open && !f.moved && (top == nil || f.load > top.load) {
+			if f.open && !f.moved && (top == nil || b.strays(f, s) && !b.strays(top, s) ||
+				b.strays(f, s) == b.strays(top, s) && f.load > top.load) {
 				top = f
 			}
 		}
-		if top == nil || top.load > amount && b.rng.Float64()*top.load >= amount {
+		if top == nil || top.load > amount && !b.strays(top, s) && b.rng.Float64()*top.load >= amount {
 			return // less than a flow is due: by chance, so that many nodes with few flows each do not overshoot
 		}
 		top.moved = true
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -900,3 +900,29 @@
 		t.Error("answered twice, and still skipped")
 	}
 }
+
+// What a group shares is paid on every server that holds any of it: with a flow or two a node it was paid on most, and
+// cost as much as all flows (zone+vast, join+vast). From a slow server what stands away from its homes goes, whole.
+func TestStraysLeaveASlowServerAndHomeFlowsByChance(t *testing.T) {
+	for _, away := range []bool{true, false} {
+		moves := 0
+		for i := range 50 {
+			b, w := start(9, Repeatable, ScopeAll)
+			b.set.Nodes, b.rng = 80, rand.New(rand.NewSource(int64(i)))
+			f := b.flow()
+			f.Group = &Group{Hash: 5}
+			slices.SortFunc(b.servers, func(x, y *Server) int { return cmp.Compare(f.liking(x), f.liking(y)) })
+			s := b.servers[0]
+			if !away {
+				s = b.servers[8]
+			}
+			f.server, f.open = s, true
+			s.add(f)
+			b.Slow(s, 60_000)
+			moves += w.count("move")
+		}
+		if away && moves != 50 || !away && (moves < 1 || moves > 20) {
+			t.Errorf("away %t: %d of 50 moved", away, moves)
+		}
+	}
+}
