Cold hosts are fed by the budget alone; skipped ones probed less often by many nodes

The budget grows with the warm share by itself; the chance stays for the ramp of hosts that are back. Second: 80 nodes probed each skipped host every 0.7 s, a quarter of all probes; each failed probe now doubles that, up to as far as nodes are told.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -266,10 +266,7 @@
 			return true
 		}
 	}
-	if b.now < s.rampTo {
-		warm = min(warm, 1-(1-rampStart)*float64(s.rampTo-b.now)/rampTime)
-	}
-	return warm < 1 && b.rng.Float64() >= warm
+	return b.now < s.rampTo && b.rng.Float64() >= 1-(1-rampStart)*float64(s.rampTo-b.now)/rampTime
 }
 
 // warm is the share of its size that a server can bear by now. Guards cold ones against a full share of load.
@@ -580,7 +577,7 @@
 			s.fastest = min(cmp.Or(s.fastest, took)+took/50, took)
 			b.measure(s, took)
 		}
-		s.streak++
+		s.streak, s.bad = s.streak+1, 0
 		if s.skipped && s.streak >= goodStreak {
 			s.skipped, s.failures = false, 0
 			s.rampTo = b.now + rampTime
@@ -588,7 +585,7 @@
 		}
 		return
 	}
-	s.streak = 0
+	s.streak, s.bad = 0, s.bad+1
 	if s.skipped {
 		b.shift(s, noLimit) // guards flows held by a server that went silent or drowns: no reset tells them
 	} else if s.State == Up && end != Saturated {
@@ -692,7 +689,8 @@
 			s.probeOut = true
 			every := int64(probeEvery)
 			if s.skipped && s.share {
-				every = probeSoon
+				// Guards a server that is back against the probes of all nodes, and what they cost.
+				every = min(probeSoon*int64(max(min(1<<min(s.bad, 3), b.set.Nodes/(2*shareLeast)), 1)), probeEvery)
 			}
 			s.probeAt = b.now + every*4/5 + b.rng.Int63n(every/5)
 			b.out.Probe(s)
--- a/balance/types.go
+++ b/balance/types.go
@@ -163,6 +163,7 @@
 	taken    int     // connects ever made for flows with a group
 	skipped  bool
 	streak   int // good probes in a row while skipped
+	bad      int // failed probes in a row
 	failures int // failed set-ups in a row
 	failedAt int64
 	triedAt  int64
