--- a/node/figures_test.go
+++ b/node/figures_test.go
@@ -26,24 +26,29 @@
 func TestMessageTimesAreNoLoads(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		tells bool
+		tells bool    // the settings say so
+		heard bool    // and some host did
 		after []int64 // since the figure before
 		told  []string
 		want  string
 	}{
-		{"a series is of message times, and so is its end", true, []int64{ms, 400 * ms, second + 9*ms, second - 9*ms},
+		{"a series is of message times, and so is its end", true, true, []int64{ms, 400 * ms, second + 9*ms, second - 9*ms},
 			[]string{"60000", "9000", "174.5", "9.1"}, "[load 60000 load 9000 slow 174500 slow 9100]"},
-		{"a load does not fall to a hundredth at once", true, []int64{ms, 700 * ms},
+		{"a load does not fall to a hundredth at once", true, true, []int64{ms, 700 * ms},
 			[]string{"60000", "600"}, "[load 60000 slow 600000]"},
-		{"light loads stay loads", true, []int64{ms}, []string{"900"}, "[load 900]"},
-		{"a first figure that comes late is a message time", true, []int64{300 * ms}, []string{"900"}, "[slow 900000]"},
-		{"no message takes longer than clients wait", true, []int64{ms, second, second}, []string{"90000", "2001", "2300"},
+		{"light loads stay loads", true, true, []int64{ms}, []string{"900"}, "[load 900]"},
+		{"a first figure that comes late is a message time", true, true, []int64{300 * ms}, []string{"900"}, "[slow 900000]"},
+		{"no message takes longer than clients wait", true, true, []int64{ms, second, second}, []string{"90000", "2001", "2300"},
 			"[load 90000 load 2001 load 2300]"},
-		{"where hosts tell none, all are loads", false, []int64{ms, 700 * ms, second}, []string{"60000", "600", "500"},
+		{"until a host told one, light loads are loads", true, false, []int64{300 * ms, 700 * ms},
+			[]string{"900", "30"}, "[load 900 load 30]"},
+		{"a series is the first sign of it", true, false, []int64{ms, 500 * ms, second, second},
+			[]string{"60000", "300", "400", "5"}, "[load 60000 load 300 slow 400000 slow 5000]"},
+		{"where hosts tell none, all are loads", false, false, []int64{ms, 700 * ms, second}, []string{"60000", "600", "500"},
 			"[load 60000 load 600 load 500]"},
 	} {
 		n, w := ready(1)
-		n.set.TellsTime = c.tells
+		n.set.TellsTime, n.timesTold = c.tells, c.heard
 		d := &heardOf{Decider: n.b}
 		n.b = d
 		_, host := w.stands()
--- a/node/node.go
+++ b/node/node.go
@@ -211,7 +211,8 @@
 	from    string
 	rev     int64 // of the list held, as this address counts
 
-	slowFrom int64 // messages that take longer are told
+	slowFrom  int64 // messages that take longer are told
+	timesTold bool  // a host told how long messages take
 
 	stopAt  int64 // when the node was told to stop; 0 before
 	stopEnd int64
