--- a/node/figures.go
+++ b/node/figures.go
@@ -32,15 +32,12 @@
 	case f.told == 0 && first:
 		n.load(f, x)
 		return
-	case series, n.timesTold && (f.told == 0 || x < f.told/tellFall):
-		n.timesTold = true
+	case series, f.told > 0 && x < f.told/tellFall, f.told == 0 && n.timesTold:
+		n.timesTold = n.timesTold || series
 		h.figures.told = n.now
 		n.b.Slow(&h.Server, int64(x*float64(ms)))
 	}
 	h.figures.seen = n.now // what can be either and has no sign teaches nothing but when it came
-	if !n.timesTold {
-		n.load(f, x) // guards loads where, so far, nobody has told a message time
-	}
 }
 
 func (n *Node) load(f *flow, x float64) {
