--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,8 @@
 	limitGain   = 0.03   // of itself a second, of the mean share at least
 	limitFloor  = 0.5    // of the mean share for its size
 	moveShare   = 0.12   // of a slow server's own load a second
-	spread      = 2.0    // servers by hash that a group keeps to, besides its share of the flows
+	spread      = 4.0    // servers by hash that a group keeps to at most, besides its share of the flows
+	spreadLeast = 2.0    // and at least; one in five between
 	thin        = 20.0   // flows of other groups that are taken for granted
 	tightShare  = 0.6    // of these while many servers are unwell
 	wellShare   = 0.75   // of the servers, over which groups may go anywhere
@@ -228,9 +229,10 @@
 			}
 		}
 	}
-	homes := spread + n*float64(f.Group.count+f.Group.taken)/all
+	least := min(max(n/shareLeast, spreadLeast), spread)
+	homes := least + n*float64(f.Group.count+f.Group.taken)/all
 	if tight = used > 0 && well <= used*wellShare; tight {
-		homes = max(homes*tightShare, spread)
+		homes = max(homes*tightShare, spreadLeast)
 	}
 	return 1 - homes/n, tight, (well + 2) / (used + 2)
 }
