--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,8 +1,8 @@
 // Package balance decides, for one node, which server each flow goes to.
 //
 // A caller makes one Balancer with New and reaches it through Round, once a round with events: the function
-// given to Round calls List, Entry, ListEnd, Demand, Opened, Established, Ended, Expired, Load, Slow, Probed
-// and Tick; the decisions go to the Writer. Its interface is in types.go. Times are whole microseconds.
+// given to Round calls List, Entry, ListEnd, Demand, Opened, Established, Ended, Load, Slow, Probed and Tick;
+// the decisions go to the Writer. Its interface is in types.go. Times are whole microseconds.
 package balance
 
 import (
@@ -47,9 +47,7 @@
 	wellShare   = 0.75       // of the servers, over which groups may go anywhere
 	firstLoad   = 30_000     // of any flow until one has been told, microseconds of work a second
 	mostKnown   = 4096
-	mostHint    = 100.0 // times the mean of its service type
-	paceStart   = 0.5   // connects a second, besides three times the usual rate
-	paceLeast   = 0.1
+	mostHint    = 100.0     // times the mean of its service type
 	askSpread   = 50_000    // a node, within which all nodes ask for their first list
 	askStood    = 3_000_000 // a watch that stood for so long was no refusal
 	shareLeast  = 5         // servers in a node's share, and nodes that share a server
@@ -74,10 +72,10 @@
 func (b *Balancer) Round(now int64, in func(*Balancer), out Writer) {
 	b.now, b.out = now, out
 	if b.started < 0 {
-		b.started, b.askAt, b.fresh = now, now+b.spread(), Rate{from: now, at: now}
+		b.started, b.askAt = now, now+b.spread()
 	}
 	in(b)
-	next := b.release(b.due())
+	next := b.due()
 	if next < b.alarmAt {
 		b.alarmAt = next
 		out.Alarm(next)
@@ -93,9 +91,6 @@
 	}
 	if f.Tries >= b.set.MaxConnects || f.Deadline <= b.now {
 		b.giveUp(f)
-	} else if b.pace > 0 {
-		f.heldTo = min(b.now+f.Type.SetupTarget, f.Deadline-f.Type.SetupTarget/4)
-		b.waiting = append(b.waiting, f)
 	} else {
 		b.place(f)
 	}
@@ -172,45 +167,6 @@
 	b.out.Connect(f, best, b.timeout(f))
 }
 
-// strained cuts the pace of connects while set-ups fail on many servers at once, as when a store that they
-// share is over its limit: sent again at once, each failure would add to it.
-func (b *Balancer) strained() {
-	if b.now-b.cutAt < second/2 {
-		return
-	}
-	if b.pace == 0 {
-		b.pace, b.credit, b.paceAt = 3*b.fresh.PerSecond(b.now)+paceStart, 0, b.now
-	}
-	b.cutAt, b.pace = b.now, max(b.pace*0.7, b.fresh.PerSecond(b.now)/2, paceLeast)
-	b.log("set-ups paced: they fail on many servers")
-}
-
-// release places waiting flows as the pace allows, and gives up at once those whose turn is more than a setup
-// target away. It returns when it must next be called.
-func (b *Balancer) release(next int64) int64 {
-	b.credit, b.paceAt = min(b.credit+b.pace*float64(b.now-b.paceAt)/second, 2), b.now
-	queue := b.waiting
-	b.waiting = b.waiting[:0]
-	for _, f := range queue {
-		turn := b.now
-		if b.pace > 0 && b.credit < 1 {
-			turn += int64((float64(len(b.waiting)+1) - b.credit) / b.pace * second)
-		}
-		switch {
-		case f.gone:
-		case b.now >= f.heldTo || turn > f.heldTo:
-			b.giveUp(f)
-		case turn == b.now:
-			b.credit--
-			b.place(f)
-		default:
-			next = min(next, max(turn, b.now+4000))
-			b.waiting = append(b.waiting, f)
-		}
-	}
-	return next
-}
-
 // liking is over 1 where the server holds the flow's group already; up to 1, the same at every node.
 func (f *Flow) liking(s *Server) float64 {
 	if f.Group == nil && f.Passed {
@@ -409,12 +365,6 @@
 			b.Slow(s, us) // guards a busy server where only set-ups show it
 		}
 	}
-	if !f.Again {
-		b.fresh.Add(b.now) // guards the pace from a rate that a crowd of returning clients drives up
-	}
-	if b.pace *= 1.02; b.now-b.cutAt > 2*second {
-		b.pace = 0
-	}
 }
 
 // Ended tells how a connect ended; over says that the flow has its answer.
@@ -434,9 +384,6 @@
 			s.asideTo = b.now + slowHold // guards a server that drops what it can't serve: a lone flow leaves no limit
 		}
 		s.brokeAt = b.now
-		if b.step > 1 {
-			b.struck(s, true) // where a node loses a flow or two, it has no limit to go by
-		}
 	}
 	if over {
 		return
@@ -464,16 +411,15 @@
 		b.measure(s, took)
 	}
 	s.failures++
-	piled := end != Unreachable && (end != Severed || took > f.Type.SetupTarget/8) // or the path broke it
-	failing, tried := b.struck(s, piled)
+	failing, tried := b.struck(s)
 	if !s.skipped && s.failures >= failStreak && (failing < 2 || 2*failing <= tried || end == Unreachable) {
 		b.skip(s, "set-ups fail")
 	}
 }
 
 // struck counts the servers that failed last, of those tried of late, not of all: with few flows a node tries
-// few, whatever befalls them all. Many, and some in the own zone: a shared cause, and not a zone cut off.
-func (b *Balancer) struck(s *Server, piled bool) (failing, tried int) {
+// few, whatever befalls them all.
+func (b *Balancer) struck(s *Server) (failing, tried int) {
 	s.failedAt, s.triedAt = b.now, b.now
 	for _, o := range b.servers {
 		if b.now-o.triedAt < 3*second {
@@ -483,9 +429,6 @@
 			}
 		}
 	}
-	if piled && s.Zone == b.set.Zone && failing > 1 && 3*failing > tried {
-		b.strained()
-	}
 	return failing, tried
 }
 
@@ -501,8 +444,6 @@
 	b.dueAt = b.now
 }
 
-func (b *Balancer) Expired(f *Flow) { f.gone = true }
-
 func (b *Balancer) Load(f *Flow, perSecond float64) {
 	if !f.open {
 		return
--- a/balance/hist.go
+++ b/balance/hist.go
@@ -58,30 +58,4 @@
 
 func (m *Mean) Value() float64 { return m.sum / m.n }
 
-const (
-	second   = 1_000_000
-	rateTime = 20 * second
-)
-
-// Rate counts events; old ones fade over rateTime.
-type Rate struct {
-	n        float64
-	from, at int64
-}
-
-func (r *Rate) fade(now int64) {
-	if age := now - r.at; age > second {
-		r.n *= 1 - min(float64(age)/rateTime, 1)
-		r.at = now
-	}
-}
-
-func (r *Rate) Add(now int64) {
-	r.fade(now)
-	r.n++
-}
-
-func (r *Rate) PerSecond(now int64) float64 {
-	r.fade(now)
-	return r.n / (float64(min(max(now-r.from, second), rateTime)) / second)
-}
+const second = 1_000_000
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -21,14 +21,13 @@
 	Setups [][histBins]uint32 // by service type
 	Every  [histBins]uint32
 	Loads  [][2]float64 // sum and number, by service type
-	Fresh  float64      // connects of late
 	Held   float64
 	Known  map[uint64]float64 // loads of keys that may come again
 }
 
 // Memory gives what the balancer knows.
 func (b *Balancer) Memory() Memory {
-	m := Memory{Every: b.every.bins, Held: b.held, Fresh: b.fresh.n, Known: maps.Clone(b.known)}
+	m := Memory{Every: b.every.bins, Held: b.held, Known: maps.Clone(b.known)}
 	for i := range b.setups {
 		m.Setups = append(m.Setups, b.setups[i].bins)
 		m.Loads = append(m.Loads, [2]float64{b.loads[i].sum, b.loads[i].n})
@@ -47,7 +46,7 @@
 
 // Recall takes over what another knew. What makes no sense, or was made for other service types, is left out.
 func (b *Balancer) Recall(now int64, m Memory) {
-	if len(m.Setups) != len(b.setups) || len(m.Loads) != len(b.loads) || !sane(m.Held) || !sane(m.Fresh) {
+	if len(m.Setups) != len(b.setups) || len(m.Loads) != len(b.loads) || !sane(m.Held) {
 		return
 	}
 	for _, l := range m.Loads {
@@ -67,7 +66,6 @@
 		}
 	}
 	b.held = m.Held
-	b.fresh = Rate{n: m.Fresh, from: now - rateTime, at: now}
 }
 
 // RecallOf takes over what another knew of a server that the list names; of one that was started anew since, nothing.
--- a/balance/types.go
+++ b/balance/types.go
@@ -81,15 +81,8 @@
 	loads    []Mean             // told, by service type
 	known    map[uint64]float64 // loads of keys that may come again
 	tightest int64              // the shortest message target
-	fresh    Rate               // connects of clients that had not come before
 	held     float64            // own flows on a server, of late
 
-	pace    float64 // connects a second while set-ups fail for a shared cause; 0 for no limit
-	paceAt  int64
-	credit  float64
-	cutAt   int64
-	waiting []*Flow
-
 	watching bool
 	asking   bool
 	askAt    int64
@@ -131,8 +124,6 @@
 	open     bool
 	moved    bool
 	stray    bool    // away from its group's homes, when flows were last to be moved
-	gone     bool    // its client left while it waited
-	heldTo   int64   // it waits its turn no longer than this
 	load     float64 // work a second
 	measured bool
 	pos      int // in server.flows
--- a/node/node.go
+++ b/node/node.go
@@ -92,6 +92,9 @@
 	m.Balancer.Round(now, func(*balance.Balancer) { in() }, out)
 }
 
+// Expired: the module keeps nothing for a flow whose client left.
+func (module) Expired(*balance.Flow) {}
+
 // host is one server and what is connected to it besides flows.
 type host struct {
 	balance.Server
