--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,7 +1,7 @@
 // Package balance decides, for one node, which server each flow goes to.
 //
 // A caller makes one Balancer with New and reaches it through Round, once a round with events: the function
-// given to Round calls List, Entry, ListEnd, Demand, Opened, Established, Ended, Load, Slow, Probed and Tick;
+// given to Round calls List, Entry, ListEnd, Demand, Opened, Established, Ended, Load, Slow, Probed, Reported and Tick;
 // the decisions go to the Writer. Its interface is in types.go. Times are whole microseconds.
 package balance
 
@@ -53,6 +53,22 @@
 	shareLeast  = 5         // servers in a node's share, and nodes that share a server
 	dropSteps   = 4         // from hardly any flows to a usual share, for servers that the list has dropped
 	dropBad     = 10        // failed probes in a row after which such a one is gone
+	fullAt      = 0.85      // reported load over what it can do, from which a server gets nothing new
+	sharedWork  = 2.0       // of a group on a server, in usual flows
+	localHeat   = 0.5       // mean report up to which the own place is preferred
+	localAt     = 0.6       // and the most that its server may report
+	fullFactor  = 1.5
+	fullLeast   = 0.6
+	warmHeat    = 0.5
+	oneCore     = 1e-6 // of what a server can do, that load adds at most
+	riseMost    = 0.3
+	overAt      = 1.0
+	fullAim     = 0.9         // and down to which flows leave it
+	reportKept  = 6 * second  // a report counts for so long
+	reportAge   = second      // and what was placed so shortly before is not in it
+	reportLag   = 2 * second  // until reports show what was moved
+	homeKept    = 60 * second // where nodes said that they hold a group
+	tellEvery   = second / 2
 	never       = int64(1) << 62
 	noLimit     = 1e18
 )
@@ -111,10 +127,13 @@
 			break // the rest of the list only when the share has none
 		}
 		// Guards against feeding a server that drowns: asked again later, a flow is better served.
-		if !b.usable(s, f) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
+		if b.usable(s, f) && s.busy <= b.most() && b.full(s) && b.heat < warmHeat && (idle == nil || b.busy(s) < b.busy(idle)) {
+			idle = s // full by what was added to its report alone, in a fleet that has room
+		}
+		if !b.usable(s, f) || b.full(s) || s.slow > 0 || s.load > 0 && s.load+f.load > s.limit {
 			continue
 		}
-		like, factor := f.liking(s), capFactor
+		like, factor := f.liking(s, b.now), capFactor
 		if like < near && tight {
 			low := s.load < idleShare*mean*s.Size*b.warm(s) && (idle == nil || s.load < idle.load)
 			if b.set.Nodes < shareLeast && low && !b.passOver(s) {
@@ -125,13 +144,16 @@
 		if b.passOver(s) {
 			continue
 		}
-		if f.Group != nil && like >= near && like < 1 && b.step > 1 {
+		if f.Group != nil && like >= near && like < 1 && b.step > 1 && !b.set.Peers {
 			like = near + (1-near)*b.rng.Float64()/2 // guards the first by hash against a flow from each node
 			if s.Zone == b.set.Zone {
 				like += (1 - near) / 2
 			}
 		}
-		if like > 1 && b.set.Untold { // no slow message would end more; the least loaded of them
+		local := f.Group != nil && b.local(s)
+		if local && f.Group != nil {
+			like += 2
+		} else if like > 1 && b.set.Untold { // no slow message would end more; the least loaded of them
 			like, factor = 2-min(s.load/(4*mean*s.Size*b.warm(s)), 1), capUntold
 		} else if like > 1 {
 			factor = capGroup
@@ -139,7 +161,7 @@
 		if over := (s.load + f.load) / (s.Size * b.warm(s)); least == nil || over < leastAt {
 			least, leastAt = s, over // for its size the least loaded: taken when all are over the cap
 		}
-		if s.load+f.load > factor*mean*s.Size*b.warm(s)+capFloor*f.load {
+		if !local && s.load+f.load > factor*mean*s.Size*b.warm(s)+capFloor*f.load {
 			continue
 		}
 		switch {
@@ -156,7 +178,7 @@
 	// Where few nodes share the load a group's homes are two of five servers, and the rest may stand idle.
 	best = cmp.Or(best, least, idle)
 	// Guards a large fleet that drowns: a server of which nothing is known is as well as those in use are.
-	if best == nil || b.step > 1 && tight && best.load == 0 && b.rng.Float64() >= chance {
+	if best == nil || b.step > 1 && tight && best.load == 0 && !b.reports(best) && b.rng.Float64() >= chance {
 		b.giveUp(f)
 		return
 	}
@@ -164,18 +186,19 @@
 	f.server, f.sent = best, b.now
 	f.Tries++
 	best.add(f)
+	b.hold(f, best)
 	b.out.Connect(f, best, b.timeout(f))
 }
 
 // liking is over 1 where the server holds the flow's group already; up to 1, the same at every node.
-func (f *Flow) liking(s *Server) float64 {
+func (f *Flow) liking(s *Server, now int64) float64 {
 	if f.Group == nil && f.Passed {
 		return share(f.Hash ^ s.Hash) // another node, to which its packets may come, finds its server the same way
 	} else if f.Group == nil {
 		return 0
 	}
 	like := share(f.Group.Hash ^ s.Hash)
-	if f.Group.held[s] > 0 {
+	if at := f.Group.homes[s]; f.Group.held[s] > 0 || at > 0 && now-at < homeKept {
 		like++
 	}
 	return like
@@ -192,7 +215,7 @@
 		all += float64(len(s.flows) + s.taken)
 		if s.load > 0 || b.now-s.triedAt < 3*second {
 			used++ // of the others nothing is known
-			if s.slow == 0 && s.load < s.limit && s.asideTo <= b.now {
+			if !b.full(s) && s.slow == 0 && s.load < s.limit && s.asideTo <= b.now {
 				well++
 			}
 		}
@@ -291,6 +314,11 @@
 		}
 	}
 	b.unranked = n < 2
+	zones := map[int]bool{}
+	for _, s := range b.servers {
+		zones[s.Zone] = true
+	}
+	b.zones = float64(max(len(zones), 1))
 	copy(b.order, b.servers)
 	for _, s := range b.servers {
 		if s.latency.Total() == 0 && n > 0 {
@@ -353,6 +381,7 @@
 func (b *Balancer) Opened(f *Flow, s *Server) {
 	f.server, f.open, f.Tries, f.load = s, true, 1, b.usual(f)
 	s.add(f)
+	b.hold(f, s)
 }
 
 func (b *Balancer) Established(f *Flow, took int64) {
@@ -462,8 +491,12 @@
 		s.slow = 0
 		return
 	}
+	again := s.slow > 0
 	s.slow, s.slowAt = us, b.now
-	if b.now-s.cutAt > second/2 {
+	if !again && b.reports(s) {
+		return // guards flows on a server that stands still for a moment: it says so once, and then that it is well
+	}
+	if b.now-s.cutAt > second/2 && !b.reports(s) {
 		s.limit = max(s.load*limitCut, limitFloor*b.mean()*s.Size)
 		s.cutAt, s.growAt = b.now, b.now
 	}
@@ -473,6 +506,75 @@
 	}
 }
 
+// Reported takes a server's own word on its load over what it can do, from a probe or from another node. Guards
+// against what own flows cannot show: what others put there, and loads that nobody tells.
+func (b *Balancer) Reported(s *Server, busy float64, own bool) {
+	busy = min(busy, max(s.busy, fullAim)+riseMost) // guards a server that stood still just then
+	s.busy, s.busyAt, s.base = busy, b.now, s.load
+	for _, f := range s.flows {
+		if b.now-f.sent < reportAge {
+			s.base -= f.load // came too late for it
+		}
+	}
+	if own && b.set.Peers && !s.news && (busy > fullAt) != s.told {
+		s.told = busy > fullAt
+		s.news, b.news = true, append(b.news, s)
+	}
+	if busy > overAt && b.now-s.movedAt > reportLag {
+		s.movedAt = b.now
+		b.shift(s, s.load*(1-fullAim/busy)) // each node its part, so that all together come down to the aim
+	}
+}
+
+// reports tells whether a server's report is recent, full whether it says that it can bear no more.
+func (b *Balancer) reports(s *Server) bool { return s.busyAt > 0 && b.now-s.busyAt < reportKept }
+func (b *Balancer) full(s *Server) bool    { return b.reports(s) && b.busy(s) > b.most() }
+
+// most is what a server may report: over the mean as the cap has it, and never close to all that it can do.
+func (b *Balancer) most() float64 { return min(max(fullFactor*b.heat, fullLeast), fullAt) }
+
+// local tells whether a server of the own place has room, as far as is reported, while the fleet is not busy. Guards
+// against crossings that bring nothing; what groups then share in each place costs more than that once hosts are busy.
+func (b *Balancer) local(s *Server) bool {
+	return s.Zone == b.set.Zone && b.apart < localHeat && b.reports(s) && b.busy(s) < localAt
+}
+
+// busy is what a server last reported and what own flows have added since, taken for what each node that uses it adds.
+func (b *Balancer) busy(s *Server) float64 { return s.busy + b.perLoad*(s.load-s.base) }
+
+// Held takes another node's word that a server holds a group.
+func (b *Balancer) Held(g *Group, s *Server) {
+	if g.homes == nil {
+		g.homes = map[*Server]int64{}
+	}
+	g.homes[s] = b.now
+}
+
+// hold tells the others where this node holds a group, unless one of them said so of late. Guards groups of a few
+// flows against a home for each node: by hash alone a node doesn't find where the others began.
+func (b *Balancer) hold(f *Flow, s *Server) {
+	if f.Group != nil {
+		b.shared.Add(float64(f.Group.count-1), 100)
+	}
+	if g := f.Group; b.set.Peers && g != nil && (g.homes[s] == 0 || b.now-g.homes[s] > homeKept/8) {
+		b.Held(g, s)
+		b.homes = append(b.homes, Home{g, s})
+	}
+}
+
+// tell passes on what this node's probes brought. Guards against each node hearing of a server every five seconds.
+func (b *Balancer) tell() {
+	if len(b.news)+len(b.homes) == 0 || b.now < b.tellAt {
+		return
+	}
+	for _, s := range b.news {
+		s.news = false
+	}
+	b.out.Tell(b.news, b.homes)
+	b.homes = b.homes[:0]
+	b.news, b.tellAt = b.news[:0], b.now+tellEvery
+}
+
 // even moves the heaviest flow whose server, without it, holds over this, again only if far over, and none
 // lighter than usual. Guards flows on a server that drowns where nobody tells: own load is all that shows it.
 func (b *Balancer) even(s *Server, most float64) {
@@ -646,10 +748,13 @@
 		return min(next, b.nextAt)
 	}
 	b.rank()
+	b.tell()
 	b.nextAt, b.dueAt = never, b.now+second/10
-	mean, held := b.mean(), 0
+	mean, held, n, busy, load := b.mean(), 0, 0.0, 0.0, 0.0
 	for _, s := range b.servers {
-		held += len(s.flows)
+		if held += len(s.flows); b.reports(s) {
+			n, busy, load, s.limit = n+1, busy+min(s.busy, 1), load+s.base, noLimit
+		}
 		if s.slow > 0 && b.now-s.slowAt > slowHold {
 			s.slow = 0
 		}
@@ -682,6 +787,10 @@
 		}
 	}
 	b.held = max(b.held*heldLeft, float64(held)/float64(max(len(b.servers), 1)))
+	if load > 0 {
+		b.perLoad, b.heat = min(busy/load, oneCore*float64(b.set.Nodes))/float64(b.step), busy/n
+		b.apart = b.heat * (1 + sharedWork*(b.zones-1)/(b.shared.Value()*float64(b.set.Nodes)+1))
+	}
 	b.dueAt = min(b.dueAt, b.nextAt)
 	return min(next, b.nextAt)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -555,7 +555,7 @@
 	others := slices.Clone(b.servers)             // than the group's homes
 	slices.SortFunc(others, func(x, y *Server) int {
 		f := &Flow{Group: &Group{Hash: 5}}
-		return cmp.Compare(f.liking(x), f.liking(y))
+		return cmp.Compare(f.liking(x, 0), f.liking(y, 0))
 	})
 	for _, s := range others[:8] {
 		s.slow, s.triedAt = 60_000, b.now
@@ -860,7 +860,7 @@
 			b.set.Nodes, b.rng = 80, rand.New(rand.NewSource(int64(i)))
 			f := b.flow()
 			f.Group = &Group{Hash: 5}
-			slices.SortFunc(b.servers, func(x, y *Server) int { return cmp.Compare(f.liking(x), f.liking(y)) })
+			slices.SortFunc(b.servers, func(x, y *Server) int { return cmp.Compare(f.liking(x, 0), f.liking(y, 0)) })
 			s := b.servers[0]
 			if !away {
 				s = b.servers[8]
@@ -919,7 +919,7 @@
 			b.fill(s, 4, firstLoad)
 			s.slow = 100_000
 		}
-		away := slices.MinFunc(b.servers, func(x, y *Server) int { return cmp.Compare(f.liking(x), f.liking(y)) })
+		away := slices.MinFunc(b.servers, func(x, y *Server) int { return cmp.Compare(f.liking(x, 0), f.liking(y, 0)) })
 		away.slow, away.flows, away.load = 0, nil, idle
 		b.place(f)
 		if w.count(want) != 1 || want == "connect" && f.server != away {
--- a/balance/types.go
+++ b/balance/types.go
@@ -53,6 +53,7 @@
 	Zone         int // of this node
 	MaxConnects  int
 	Probing      bool
+	Peers        bool  // nodes may tell each other things
 	Untold       bool  // nobody tells how long messages take at a server
 	OnRequest    bool  // the server list must be asked for
 	AskWithin    int64 // unasked for so long, a node is deemed told
@@ -91,7 +92,15 @@
 	dueAt    int64 // when the servers must next be gone through
 	nextAt   int64 // and when the first probe is due
 	alarmAt  int64
-	strayAt  int64 // when a flow last left as a stray
+	strayAt  int64     // when a flow last left as a stray
+	perLoad  float64   // reported load for each unit of own load
+	heat     float64   // mean of what servers report
+	news     []*Server // whose reports the other nodes have not been told
+	shared   Mean      // other own flows of the group of a flow
+	apart    float64   // mean report if each place had its own home for each group
+	zones    float64
+	homes    []Home // that the other nodes have not been told
+	tellAt   int64  // when they may next be told
 	logAt    int64
 }
 
@@ -99,8 +108,15 @@
 type Group struct {
 	Hash  uint64
 	held  map[*Server]int
-	count int // flows of this node
-	taken int // connects that it ever made for this group
+	count int               // flows of this node
+	taken int               // connects that it ever made for this group
+	homes map[*Server]int64 // where nodes said that they hold it, and when
+}
+
+// Home is a server that holds a group.
+type Home struct {
+	Group  *Group
+	Server *Server
 }
 
 // Flow is one connection asked for by a client.
@@ -176,7 +192,12 @@
 	probeAt  int64
 	fastest  int64 // probe of late
 	probeOut bool
-	trust    int // steps that a server which the list has dropped is trusted by; 0 for a listed one
+	busy     float64 // its load over what it can do, by its last report
+	base     float64 // own load that is in it
+	busyAt   int64   // when that came; 0 for never
+	news     bool
+	told     bool // the other nodes heard last that it is full
+	trust    int  // steps that a server which the list has dropped is trusted by; 0 for a listed one
 }
 
 // ListKind says what a list report is: List begins one, Entry follows for each server, then ListEnd.
@@ -196,6 +217,7 @@
 	Abort(f *Flow)
 	Move(f *Flow)
 	Probe(s *Server)
+	Tell(servers []*Server, homes []Home) // the other nodes, the servers' Busy and where groups are held
 	Watch()
 	Alarm(at int64)
 	Trace(line string)
@@ -242,5 +264,8 @@
 // Avoided tells whether a server gets no new flows for its own sake: it drains, is skipped, or is left out for a while.
 func (s *Server) Avoided(now int64) bool { return s.State == Draining || s.skipped || now < s.asideTo }
 
+// Busy is its load over what it can do, by its last report.
+func (s *Server) Busy() float64 { return s.busy }
+
 // Dropped tells whether the list has dropped a server that is used all the same.
 func (s *Server) Dropped() bool { return s.trust > 0 }
--- a/node/conns.go
+++ b/node/conns.go
@@ -475,6 +475,8 @@
 
 // Watch asks discovery for what has changed since the last version, and to go on telling. A version counts at its own
 // address only: another is asked for the whole list. What is watched already goes on until the answer comes.
+func (n *Node) Tell([]*balance.Server, []balance.Home) {}
+
 func (n *Node) Watch() {
 	if n.call != nil {
 		return // its own deadline ends it
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -72,9 +73,22 @@
 	return nil
 }
 
+// report finds the figure that tells load over capacity, or else how busy the cores are.
+func (c *conf) report() int {
+	if _, ok := c.values["LoadReport.How"]; !ok || c.word("LoadReport.How", "silent", "pull", "piggyback") == 0 {
+		return -1
+	}
+	names := c.list("LoadReport.Names")
+	if at := slices.Index(names, "x0"); at >= 0 {
+		return at
+	}
+	return slices.Index(names, "cpu")
+}
+
 // Settings are those of the module and what the doors read besides.
 type Settings struct {
 	balance.Settings
+	Report    int            // which figure of a load report tells load over capacity, or how busy the cores are; -1 for none
 	Passes    bool           // packets pass through in place of ending at the node
 	Names     map[string]int // of the service types
 	Zones     map[string]int
@@ -189,6 +203,10 @@
 	if _, ok := values["Obligations.DrainBindsAlone"]; ok {
 		s.DrainsAlone = c.flag("Obligations.DrainBindsAlone")
 	}
+	if _, ok := values["Limits.Peers"]; ok {
+		s.Peers = c.flag("Limits.Peers")
+	}
+	s.Report = c.report()
 	if s.Nines = c.optional("Goal.Nines", 0); s.Nines > 0 {
 		s.Wanted = c.number("Goal.NinesWanted", leastNines)
 	} else {
--- a/simwire/door.go
+++ b/simwire/door.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +13,7 @@
 	"strconv"
 
 	"coursewinch/balance"
+	"coursewinch/peers"
 	"coursewinch/settings"
 )
 
@@ -37,6 +40,8 @@
 	flows   map[string]*balance.Flow
 	servers map[string]*balance.Server
 	groups  map[string]*balance.Group
+	short   map[uint32]*balance.Server // by what peers call them
+	told    map[uint32]*balance.Group  // also those that peers alone have named
 }
 
 // Door reads batches and writes replies.
@@ -225,7 +230,7 @@
 			return true
 		}
 		d.cur = &node{b: balance.New(&set.Settings, seed), set: set, flows: map[string]*balance.Flow{},
-			servers: map[string]*balance.Server{}, groups: map[string]*balance.Group{}}
+			servers: map[string]*balance.Server{}, groups: map[string]*balance.Group{}, short: map[uint32]*balance.Server{}, told: map[uint32]*balance.Group{}}
 		d.nodes[d.at] = d.cur
 		return true
 	case "stop":
@@ -326,8 +331,11 @@
 	case "probed":
 		s, end := d.server(l.text("Host")), d.outcome()
 		took := l.time("DelaySeenMs")
-		l.take("Usage")
+		busy, told := d.usage()
 		if l.end() == nil && d.err == nil {
+			if told {
+				b.Reported(s, busy, true)
+			}
 			b.Probed(s, end, took)
 		}
 	case "tick_due":
@@ -339,12 +347,50 @@
 		d.announce(b)
 	case "whisper":
 		l.count("SrcPeer", false)
-		l.take("Payload")
+		told := l.take("Payload")
+		if l.end() == nil {
+			n.heard(b, told)
+		}
 	default:
 		d.err = fmt.Errorf("line %d: unknown message %q", l.no, l.name)
 	}
 }
 
+// usage takes a load report's figure for the load.
+func (d *Door) usage() (busy float64, told bool) {
+	row, at := d.line.take("Usage"), d.cur.set.Report
+	if at < 0 || len(row) == 0 || string(row) == "-" {
+		return 0, false
+	}
+	fields := bytes.Split(row, []byte(","))
+	if at >= len(fields) {
+		d.line.fail("Usage", fmt.Sprintf("has %d figures where figure %d is due", len(fields), at+1))
+		return 0, false
+	}
+	busy, err := strconv.ParseFloat(string(fields[at]), 64)
+	if err != nil || !(busy >= 0) {
+		d.line.fail("Usage", fmt.Sprintf("has the impossible figure %q", fields[at]))
+	}
+	return busy, err == nil
+}
+
+// heard takes what another node tells; what makes no sense is dropped.
+func (n *node) heard(b *balance.Balancer, told []byte) {
+	raw, err := base64.StdEncoding.DecodeString(string(told))
+	if err != nil {
+		return
+	}
+	peers.Read(raw, func(hash uint32, busy float64) {
+		if s := n.short[hash]; s != nil {
+			b.Reported(s, busy, false)
+		}
+	}, func(group, hash uint32) {
+		if s := n.short[hash]; s != nil {
+			b.Held(n.known(group), s)
+		}
+	})
+}
+
 func hint(flags int64, ms float64) float64 {
 	if flags&1 == 0 {
 		return 0
@@ -357,14 +403,23 @@
 	return &balance.Flow{Type: &d.cur.set.Types[kind], TypeNo: kind, Passed: d.cur.set.Passes, Ref: &ref{id: id}}
 }
 
+// known is the group that peers call so, a new one where nobody has named it yet.
+func (n *node) known(short uint32) *balance.Group {
+	if n.told[short] == nil {
+		n.told[short] = &balance.Group{Hash: uint64(short)}
+	}
+	return n.told[short]
+}
+
 func (n *node) group(p []byte) *balance.Group {
 	if len(p) == 0 || len(p) == 1 && p[0] == '-' {
 		return nil
 	}
 	g := n.groups[string(p)]
 	if g == nil {
-		g = &balance.Group{Hash: hash(p)}
-		n.groups[string(p)] = g
+		h := hash(p)
+		g = n.known(peers.Short(h))
+		g.Hash, n.groups[string(p)] = h, g
 	}
 	return g
 }
@@ -410,10 +465,13 @@
 	f, s := d.connect()
 	l.text("Host")
 	end, took, over := d.outcome(), l.time("DelaySeenMs"), l.flag("Over")
-	l.take("Usage")
+	busy, told := d.usage()
 	if f == nil || l.end() != nil {
 		return
 	}
+	if told {
+		b.Reported(s, busy, true)
+	}
 	r := f.Ref.(*ref)
 	r.out--
 	r.over = r.over || over
@@ -461,6 +519,7 @@
 		if s == nil {
 			s = &balance.Server{Name: string(host), Hash: hash(host)}
 			n.servers[s.Name] = s
+			n.short[peers.Short(s.Hash)] = s
 		}
 		s.Zone, s.Cell = int(zone), int(cell)
 		if size <= 0 {
@@ -547,6 +606,13 @@
 	d.end()
 }
 
+func (d *Door) Tell(servers []*balance.Server, homes []balance.Home) {
+	peers.Write(servers, homes, func(memo []byte) {
+		d.say("memo_to", "*", base64.StdEncoding.EncodeToString(memo))
+		d.end()
+	})
+}
+
 func (d *Door) Watch() {
 	d.say("tail", "1")
 	d.end()
