Program ready for the new layout: STATS probes, datagrams between nodes, settings checked

Need: the module reads load reports and messages between nodes; on sockets nothing brought them. Learnt figures carry over as they mean the same; reports and homes start afresh. Not taken: TCP between nodes, which needs a connection to each of hundreds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -468,7 +468,7 @@
 	if !f.open {
 		return
 	}
-	f.server.load, f.load = f.server.load+perSecond-f.load, perSecond
+	f.server.load, f.load = f.server.load+(perSecond-f.load), perSecond
 	if !f.measured {
 		f.measured = true
 		b.loads[f.TypeNo].Add(perSecond, 200)
--- a/baseline/baseline.go
+++ b/baseline/baseline.go
@@ -202,5 +202,7 @@
 func (d *decider) Expired(f *balance.Flow) { d.forget(f) }
 
 func (d *decider) Load(*balance.Flow, float64)                    {}
+func (d *decider) Reported(*balance.Server, float64, bool)        {}
+func (d *decider) Held(*balance.Group, *balance.Server)           {}
 func (d *decider) Slow(*balance.Server, int64)                    {}
 func (d *decider) Probed(*balance.Server, balance.Outcome, int64) {}
--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 
 const shortWait = 1000 // microseconds, while something is measured: what a wait takes longer, the node was late
 
+const mostPeers = 512 // each is told in a send of its own
+
 const captureMB = 64 // that a capture holds at most, where the file doesn't say
 
 type config struct {
@@ -62,9 +65,14 @@
 		IdleMs                      int64 `json:"idle_ms"`
 		StalledMs                   int64 `json:"stalled_ms"`
 	}
+	Peers struct {
+		Listen string
+		Nodes  []string
+	}
 	Known    json.RawMessage
 	Settings json.RawMessage
 
+	peers []netip.AddrPort
 	set   *settings.Settings
 	known discovery.List
 	seed  int64
@@ -115,6 +123,9 @@
 	if c.set, err = settings.JSON(c.Settings); err != nil {
 		return nil, err
 	}
+	if err := c.checkPeers(); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
 	if c.Seed != "" {
 		seed, err := strconv.ParseUint(c.Seed, 16, 64)
 		if err != nil {
@@ -130,6 +141,33 @@
 	return &c, nil
 }
 
+// checkPeers reads the other nodes' addresses. Nothing is sent or heard unless both the file and the settings say so.
+func (c *config) checkPeers() error {
+	if c.Peers.Listen == "" && len(c.Peers.Nodes) == 0 {
+		return nil
+	}
+	if !c.set.Peers {
+		return errors.New("the settings allow no messages between nodes")
+	}
+	if c.Peers.Listen == "" || len(c.Peers.Nodes) == 0 || len(c.Peers.Nodes) > mostPeers {
+		return fmt.Errorf("an address to listen at and 1 to %d nodes are wanted", mostPeers)
+	}
+	if _, err := netip.ParseAddrPort(c.Peers.Listen); err != nil {
+		return err
+	}
+	for _, text := range c.Peers.Nodes {
+		at, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return err
+		}
+		if at.Port() == 0 || slices.Contains(c.peers, at) || text == c.Peers.Listen {
+			return fmt.Errorf("%s has no port, is named twice or is this node", text)
+		}
+		c.peers = append(c.peers, at)
+	}
+	return nil
+}
+
 // reload reads the file anew and gives the config that holds from now on. Guards a node in service against a file that
 // can't be used. Only discovery changes while it runs; of the rest it says what waits for the next start.
 func reload(path string, old *config, n *node.Node) *config {
@@ -143,6 +181,7 @@
 		name string
 		same bool
 	}{{"listen", c.Listen == old.Listen}, {"admin", c.Admin == old.Admin}, {"limits", c.Limits == old.Limits},
+		{"peers", slices.Equal(c.peers, old.peers) && c.Peers.Listen == old.Peers.Listen},
 		{"settings", bytes.Equal(c.Settings, old.Settings)}} {
 		if !part.same {
 			later += part.name + ","
@@ -150,6 +189,7 @@
 	}
 	log.Printf("msg=config_read discovery=%s next_start=%q", c.Discovery, strings.TrimSuffix(later, ","))
 	c.Listen, c.Admin, c.Limits, c.Settings = old.Listen, old.Admin, old.Limits, old.Settings
+	c.Peers, c.peers = old.Peers, old.peers
 	n.Follow(c.Discovery)
 	return c
 }
@@ -180,6 +220,9 @@
 	if c.Admin != "" {
 		apart += heldForCalls
 	}
+	if len(c.peers) > 0 {
+		apart++
+	}
 	loop, err := epoll.New(most-apart, d, func() {
 		if stop.Load() {
 			d.Stop()
@@ -199,6 +242,13 @@
 	conf := node.Config{Discovery: c.Discovery, Seed: c.seed, Admission: admission.Limits{PerAddress: c.Admission.PerAddress,
 		Rate: c.Admission.Rate, Burst: c.Admission.Burst, Reserve: c.Admission.Reserve}, Limits: node.Limits{Hosts: c.Holding.Hosts, Groups: c.Holding.Groups, IDs: c.Holding.IDs,
 		Buffers: c.Holding.Buffers, Idle: c.Holding.IdleMs * 1000, Stalled: c.Holding.StalledMs * 1000}}
+	if len(c.peers) > 0 {
+		conf.Tell = func(p []byte) {
+			for _, at := range c.peers {
+				loop.Tell(at, p)
+			}
+		}
+	}
 	if c.Capture.File != "" {
 		w, err := capture.Create(c.Capture.File, cmp.Or(c.Capture.MB, captureMB)<<20,
 			capture.Start{Node: c.Name, Zone: c.set.Zone, At: time.Now().UnixMicro()})
@@ -245,9 +295,22 @@
 	if err != nil {
 		return err
 	}
+	heard := "off"
+	if len(c.peers) > 0 {
+		// Guards against datagrams of others: an address that the file doesn't name is not heard.
+		bound, err := loop.Datagrams(c.Peers.Listen, func(from netip.AddrPort, p []byte) {
+			if slices.Contains(c.peers, from) {
+				d.Heard(p)
+			}
+		})
+		if err != nil {
+			return err
+		}
+		heard = bound.String()
+	}
 	d.Begin(clock(), c.known)
-	log.Printf("msg=started name=%s listen=%s discovery=%s hosts=%d sockets=%d admin=%s", c.Name, at, c.Discovery,
-		len(c.known.Entries), most, admin)
+	log.Printf("msg=started name=%s listen=%s discovery=%s hosts=%d sockets=%d peers=%s admin=%s", c.Name, at, c.Discovery,
+		len(c.known.Entries), most, heard, admin)
 	var lag epoll.Lag
 	for !d.Done() {
 		asleep, wait := clock(), int64(-1)
--- a/cmd/coursewinch/main_test.go
+++ b/cmd/coursewinch/main_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -490,6 +491,12 @@
 	}
 }
 
+// peered is a file with other nodes in it.
+func peered(peers string, allowed bool) string {
+	set := strings.Replace(nested, `"Probing"`, `"Peers":`+strconv.FormatBool(allowed)+`,"Probing"`, 1)
+	return `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","peers":{` + peers + `},"settings":` + set + `}`
+}
+
 func TestUnusableConfig(t *testing.T) {
 	for _, config := range []string{"", "{", `{"listen":"x"}`, `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1"}`,
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"zz","settings":` + nested + `}`,
@@ -497,7 +504,11 @@
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"Balancers":0}}`,
 		`{"listen":"127.0.0.1:1","admin":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":` + nested + `}`,
 		`{"listen":"127.0.0.1:0","admin":"here","discovery":"127.0.0.1:1","settings":` + nested + `}`,
-		`{"listen":"127.0.0.1:0","admin":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + nested + `}`} {
+		`{"listen":"127.0.0.1:0","admin":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + nested + `}`,
+		peered(`"listen":"127.0.0.1:0","nodes":["127.0.0.1:7"]`, false), // the settings forbid it
+		peered(`"listen":"127.0.0.1:0","nodes":["127.0.0.1:7","127.0.0.1:7"]`, true),
+		peered(`"listen":"127.0.0.1:0","nodes":["n2"]`, true), peered(`"nodes":["127.0.0.1:7"]`, true),
+		peered(`"listen":"192.0.2.1:9","nodes":["127.0.0.1:7"]`, true)} {
 		p := prepare(t, config)
 		err := p.cmd.Run()
 		if _, ok := err.(*exec.ExitError); !ok || strings.Count(p.text.String(), "\n") != 1 {
--- a/epoll/loop.go
+++ b/epoll/loop.go
@@ -32,6 +32,7 @@
 	listenNo = -1
 	wakeNo   = -2
 	callNo   = -3
+	peerNo   = -4
 	atOnce   = 128 // new connections a turn
 	calls    = 32  // of operators
 )
@@ -61,6 +62,8 @@
 	scratch         [lines.RingSize]byte
 	failed          []failure // told in the next turn
 	woken           func()
+	peers           int // the socket for datagrams; under 0 for none
+	told            func(from netip.AddrPort, p []byte)
 }
 
 // listener is a socket that takes connections. It is in the poll while they can be served.
@@ -86,7 +89,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{poll: poll, wake: wake, clients: listener{fd: -1, no: listenNo}, admins: listener{fd: -1, no: callNo}, most: most, h: h, woken: woken}
+	l := &Loop{poll: poll, wake: wake, clients: listener{fd: -1, no: listenNo}, admins: listener{fd: -1, no: callNo}, peers: -1, most: most, h: h, woken: woken}
 	return l, l.control(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN, wakeNo, 0)
 }
 
@@ -270,6 +273,8 @@
 			l.accept()
 		case callNo:
 			l.acceptCalls()
+		case peerNo:
+			l.receive()
 		case wakeNo:
 			var b [8]byte
 			unix.Read(l.wake, b[:])
--- a/node/conns.go
+++ b/node/conns.go
@@ -130,7 +130,7 @@
 		n.connected(c)
 	case probing:
 		n.leg(&c.host.ping)
-		c.out.Put([]byte("PING\r\n"))
+		c.out.Put(n.ask())
 		n.net.Touch(c.id)
 	case watching:
 		c.out.Put(discovery.Request(c.from, c.rev))
@@ -393,7 +393,7 @@
 		return
 	}
 	if h.probe != nil {
-		h.probe.out.Put([]byte("PING\r\n"))
+		h.probe.out.Put(n.ask())
 		n.net.Touch(h.probe.id)
 		return
 	}
@@ -403,6 +403,14 @@
 	n.net.Dial(c.id, h.addr, &c.in, &c.out)
 }
 
+// ask is the line of a probe: with a report where hosts have one.
+func (n *Node) ask() []byte {
+	if n.set.Reports {
+		return []byte("STATS\r\n")
+	}
+	return []byte("PING\r\n")
+}
+
 // probeWait is the tightest setup target: a host that takes longer for a probe is of no use for any flow.
 func (n *Node) probeWait() int64 {
 	wait := n.set.Types[0].SetupTarget
@@ -423,10 +431,20 @@
 			return
 		}
 		word, _ := lines.Answer(line)
+		busy, told := 0.0, false
+		if n.set.Reports {
+			if figures, ok := lines.Stats(line); ok {
+				word = lines.Pong // also without the figure: the host answered
+				busy, told = figures.At(n.set.Report)
+			}
+		}
 		c.in.Drop(len(line))
 		if h.probed == 0 || word == lines.Load {
 			continue
 		}
+		if told {
+			n.b.Reported(&h.Server, busy, true)
+		}
 		if word != lines.Pong {
 			n.probeFailed(h, balance.Errored)
 			return
@@ -475,8 +493,6 @@
 
 // Watch asks discovery for what has changed since the last version, and to go on telling. A version counts at its own
 // address only: another is asked for the whole list. What is watched already goes on until the answer comes.
-func (n *Node) Tell([]*balance.Server, []balance.Home) {}
-
 func (n *Node) Watch() {
 	if n.call != nil {
 		return // its own deadline ends it
--- a/node/flows.go
+++ b/node/flows.go
@@ -9,6 +9,7 @@
 	"coursewinch/balance"
 	"coursewinch/capture"
 	"coursewinch/lines"
+	"coursewinch/peers"
 )
 
 // Stage is how far a flow's connect has come.
@@ -138,11 +139,13 @@
 			for id, o := range n.groups {
 				if o.flows == 0 {
 					delete(n.groups, id)
+					delete(n.whole, peers.Short(id))
 				}
 			}
 		}
 		g = &group{Group: balance.Group{Hash: id}}
 		n.groups[id] = g
+		n.meet(g)
 	}
 	g.flows++
 	f.group, f.Group = g, &g.Group
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"coursewinch/capture"
 	"coursewinch/discovery"
 	"coursewinch/lines"
+	"coursewinch/peers"
 	"coursewinch/settings"
 )
 
@@ -58,6 +59,7 @@
 	Capture   Capture                                 // nil: none
 	Admission admission.Limits                        // zero: every connection is taken
 	Limits    Limits
+	Tell      func([]byte) // sends a datagram to all other nodes; nil where they hear nothing
 }
 
 // Capture takes what became of flows; it must not wait for anything.
@@ -79,6 +81,8 @@
 	Established(f *balance.Flow, took int64)
 	Ended(f *balance.Flow, s *balance.Server, end balance.Outcome, took int64, over bool)
 	Expired(*balance.Flow)
+	Reported(s *balance.Server, busy float64, own bool)
+	Held(*balance.Group, *balance.Server)
 	Load(f *balance.Flow, perSecond float64)
 	Slow(s *balance.Server, us int64)
 	Probed(s *balance.Server, end balance.Outcome, took int64)
@@ -189,8 +193,11 @@
 	conns  slots[conn]
 	flows  slots[flow]
 	hosts  map[string]*host
-	fleet  []*host // in the order in which they were first named
-	ids    recent  // that clients gave
+	short  map[uint32]*host  // by what peers call them
+	away   map[uint32]*host  // where others hold groups, by what they call these
+	whole  map[uint32]uint64 // groups met, by what peers call them
+	fleet  []*host           // in the order in which they were first named
+	ids    recent            // that clients gave
 	groups map[uint64]*group
 	links  int // connections to hosts for flows
 	times  deadlines
@@ -235,9 +242,10 @@
 	if !set.OnRequest { // over HTTP a list that is pushed on the wire must be asked for as well
 		set.OnRequest, set.AskWithin = true, askWithin
 	}
+	set.Peers = set.Peers && conf.Tell != nil
 	set.Untold = true // no line of the protocol tells how long messages take
 	n := &Node{set: set, conf: conf, net: net, b: module{balance.New(&set.Settings, conf.Seed)},
-		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, groups: map[uint64]*group{},
+		rng: rand.New(rand.NewSource(conf.Seed + 1)), hosts: map[string]*host{}, short: map[uint32]*host{}, away: map[uint32]*host{}, whole: map[uint32]uint64{}, groups: map[uint64]*group{},
 		logs: map[string]*kind{}, from: conf.Discovery}
 	n.Types = make([]Tally, len(set.Types))
 	n.lim = conf.Limits
@@ -352,6 +360,7 @@
 				n.probeFailed(h, balance.Overdue)
 			}
 			n.hosts[e.UID] = h
+			n.short[peers.Short(h.Hash)] = h
 			n.fleet = append(n.fleet, h)
 		}
 		if e.Endpoint != "" && e.Endpoint != h.addr {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -73,3 +73,30 @@
 		}
 	}
 }
+
+// Reports and messages between nodes are off where nothing is said of them, as at kingston.
+func TestReportsAndPeers(t *testing.T) {
+	for _, c := range []struct {
+		more          string
+		report        int
+		reports, peer bool
+		bad           bool
+	}{
+		{"", -1, false, false, false},
+		{"LoadReport.How=silent LoadReport.Names= Limits.Peers=false", -1, false, false, false},
+		{"LoadReport.How=pull LoadReport.Names=cpu,waiting,x0 Limits.Peers=true", 2, true, true, false},
+		{"LoadReport.How=piggyback LoadReport.Names=waiting,cpu", 1, true, false, false},
+		{"LoadReport.How=pull LoadReport.Names=waiting", -1, false, false, false},
+		{"LoadReport.How=often", 0, false, false, true},
+		{"Limits.Peers=perhaps", 0, false, false, true},
+	} {
+		var parts [][]byte
+		for _, p := range append(append([]string(nil), flat...), strings.Fields(c.more)...) {
+			parts = append(parts, []byte(p))
+		}
+		s, err := Pairs(parts)
+		if c.bad != (err != nil) || !c.bad && (s.Report != c.report || s.Reports != c.reports || s.Peers != c.peer) {
+			t.Errorf("%q: %+v %v", c.more, s, err)
+		}
+	}
+}
