--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,22 +48,22 @@
 	wellShare   = 0.75       // of the servers, over which groups may go anywhere
 	firstLoad   = 30_000     // of any flow until one has been told, microseconds of work a second
 	mostKnown   = 4096
-	mostHint    = 100.0     // times the mean of its service type
-	askSpread   = 50_000    // a node, within which all nodes ask for their first list
-	askStood    = 3_000_000 // a watch that stood for so long was no refusal
-	shareLeast  = 5         // servers in a node's share, and nodes that share a server
-	fullAt      = 0.85      // reported load over what it can do, from which a server gets nothing new,
-	fullLeast   = 0.6       // or less, down to this,
-	fullFactor  = 1.5       // where it is over this times the mean report
-	hotMean     = 0.7       // a mean report over which many nodes would pile up on what one of them told
-	roomMean    = 0.5       // and up to which the fleet has room
-	roomGain    = 2.5       // a limit grows so much faster where a report is under hotMean
-	sharedWork  = 2.0       // of a group on a server, in usual flows
-	oneCore     = 1e-6      // of what a server can do, that a unit of load takes at most
-	riseMost    = 0.3       // by which a report may be over the last one, or over fullAt
-	reportKept  = 8 * second
+	mostHint    = 100.0      // times the mean of its service type
+	askSpread   = 50_000     // a node, within which all nodes ask for their first list
+	askStood    = 3_000_000  // a watch that stood for so long was no refusal
+	shareLeast  = 5          // servers in a node's share, and nodes that share a server
+	fullAt      = 0.85       // reported load over what it can do, from which a server gets nothing new,
+	fullLeast   = 0.6        // or less, down to this,
+	fullFactor  = 1.5        // where it is over this times the mean report
+	mostWell    = 0.6        // of servers in use; with fewer, many nodes would pile onto what one told
+	hotMean     = 0.7        // a mean over which nothing is sure; under this report limits come back faster,
+	roomMean    = 0.5        // and up to which the fleet has room
+	roomGain    = 2.5        // times as fast
+	sharedWork  = 2.0        // of a group on a server, in usual flows
+	oneCore     = 1e-6       // of what a server can do, that a unit of load takes at most
+	riseMost    = 0.3        // by which a report may be over the last one, or over fullAt
+	newsKept    = 8 * second // a report counts for so long; then a node says again where it holds a group
 	reportAge   = second     // what was placed so shortly before a report is not in it
-	homeAgain   = 8 * second // until the other nodes may be told again where a group is held
 	tellEvery   = second / 2
 	never       = int64(1) << 62
 	noLimit     = 1e18
@@ -130,7 +130,7 @@
 			}
 			continue
 		}
-		like, factor := f.liking(s, b.heat < hotMean || b.step == 1), capFactor
+		like, factor := f.liking(s, chance > mostWell || b.step == 1), capFactor
 		if like < near && tight {
 			low := s.load < idleShare*mean*s.Size*b.warm(s) && (idle == nil || s.load < idle.load)
 			if b.set.Nodes < shareLeast && low && !b.passOver(s) {
@@ -512,7 +512,7 @@
 }
 
 // reports tells whether a server's report is recent, full whether it says that it can bear no more.
-func (b *Balancer) reports(s *Server) bool { return s.busyAt > 0 && b.now-s.busyAt < reportKept }
+func (b *Balancer) reports(s *Server) bool { return s.busyAt > 0 && b.now-s.busyAt < newsKept }
 func (b *Balancer) full(s *Server) bool    { return b.reports(s) && b.busy(s) > b.most() }
 
 // most is what a server may report: over the mean as the cap has it, and never close to all that it can do.
@@ -548,7 +548,7 @@
 	if g != nil {
 		b.shared.Add(float64(g.count-1), keepRank)
 	}
-	if b.set.Peers && g != nil && (g.homes[s] == 0 || b.now-g.homes[s] > homeAgain) {
+	if b.set.Peers && g != nil && (g.homes[s] == 0 || b.now-g.homes[s] > newsKept) {
 		b.Held(g, s)
 		b.homes = append(b.homes, Home{g, s})
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1041,7 +1041,7 @@
 	if len(b.homes) > 0 {
 		t.Fatal("told what was heard just now")
 	}
-	b.now += homeAgain + 1
+	b.now += newsKept + 1
 	f = b.flow()
 	f.Group = g
 	if b.place(f); len(b.homes) != 1 {
