--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -72,9 +73,22 @@
 	return nil
 }
 
+// report finds the figure that tells load over capacity, or else how busy the cores are.
+func (c *conf) report() int {
+	if _, ok := c.values["LoadReport.How"]; !ok || c.word("LoadReport.How", "silent", "pull", "piggyback") == 0 {
+		return -1
+	}
+	names := c.list("LoadReport.Names")
+	if at := slices.Index(names, "x0"); at >= 0 {
+		return at
+	}
+	return slices.Index(names, "cpu")
+}
+
 // Settings are those of the module and what the doors read besides.
 type Settings struct {
 	balance.Settings
+	Report    int            // which figure of a load report tells load over capacity, or how busy the cores are; -1 for none
 	Passes    bool           // packets pass through in place of ending at the node
 	Names     map[string]int // of the service types
 	Zones     map[string]int
@@ -85,6 +99,8 @@
 	Limits    []int64 // connect timeouts of the service types; 0 where none is stated
 	Nines     float64 // what weight the goal gives to nines, and how many it wants; 0 where it counts none
 	Wanted    float64
+	// What the list calls gone, or leaves out, binds nobody before it drained: a new process of a node then takes it for no drain.
+	DrainsAlone bool
 }
 
 const leastNines = 0.01 // wanted; fewer make no sense as a divisor
@@ -189,6 +205,11 @@
 	if _, ok := values["Obligations.DrainBindsAlone"]; ok {
 		s.DrainsAlone = c.flag("Obligations.DrainBindsAlone")
 	}
+	if _, ok := values["Limits.Peers"]; ok {
+		s.Peers = c.flag("Limits.Peers")
+	}
+	s.Report = c.report()
+	s.Reports = s.Report >= 0
 	if s.Nines = c.optional("Goal.Nines", 0); s.Nines > 0 {
 		s.Wanted = c.number("Goal.NinesWanted", leastNines)
 	} else {
