--- a/fleet/host.go
+++ b/fleet/host.go
@@ -75,6 +75,7 @@
 	work float64
 	wait int64 // how long the node waits
 	ping bool
+	told bool // the probe asks for the report
 	gone bool // its connection is gone
 }
 
@@ -189,7 +190,7 @@
 		h.next()
 		switch {
 		case j.ping:
-			h.w.say(j.c.Conn, "PONG\r\n", nil)
+			h.w.say(j.c.Conn, h.pong(j.told), nil)
 		case h.w.s.Store.Rate > 0:
 			h.w.store(func() { h.setUp(j) })
 		default:
@@ -254,6 +255,14 @@
 
 func (h *host) up(*Conn) {}
 
+// pong answers a probe; its report is of flows waiting and of load asked over what the host can do.
+func (h *host) pong(told bool) string {
+	if rate := h.perCore() * h.cores; told && rate > 0 {
+		return fmt.Sprintf("PONG %d,%.3f\r\n", len(h.inWork), h.load/rate)
+	}
+	return "PONG\r\n"
+}
+
 func (h *host) line(c *Conn, line []byte) {
 	hc, ok := c.state.(*hostConn)
 	if !ok || h.state != running {
@@ -264,9 +273,9 @@
 	switch text := string(line); {
 	case hc.seat != nil:
 		h.echo(hc, text)
-	case text == "PING":
+	case text == "PING", text == "STATS" && h.w.s.Node.Reports:
 		h.w.run.Counts.Probes++
-		h.push(&job{c: hc, took: h.w.now, work: float64(h.w.s.Fleet.ProbeWork), ping: true})
+		h.push(&job{c: hc, took: h.w.now, work: float64(h.w.s.Fleet.ProbeWork), ping: true, told: text == "STATS"})
 	case strings.HasPrefix(text, "OPEN ") && hc.flow != nil && hc.job == nil:
 		h.asked(hc, line)
 	default:
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -133,6 +133,7 @@
 	MemoryMB    int  `toml:"memory_mb"`
 	MaxConnects int  `toml:"max_connects"`
 	Probing     bool `toml:"probing"`
+	Reports     bool `toml:"reports"` // hosts tell their load to probes
 	DrainGrace  Span `toml:"drain_grace"`
 	MaxWait     Span `toml:"max_wait"` // that clients obey when told to come again later; 0: they are not told
 	Dial        Span `toml:"dial_timeout"`
