--- a/balance/types.go
+++ b/balance/types.go
@@ -53,7 +53,6 @@
 	Zone         int // of this node
 	MaxConnects  int
 	Probing      bool
-	Reports      bool  // servers tell their load, at least to probes
 	Peers        bool  // nodes may tell each other things
 	Untold       bool  // nobody tells how long messages take at a server
 	OnRequest    bool  // the server list must be asked for
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,7 @@
 // Settings are those of the module and what the doors read besides.
 type Settings struct {
 	balance.Settings
+	Reports   bool           // hosts tell their load, at least to probes
 	Report    int            // which figure of a load report tells load over capacity, or how busy the cores are; -1 for none
 	Passes    bool           // packets pass through in place of ending at the node
 	Names     map[string]int // of the service types
