Groups keep to their first homes that are up, cold hosts by what they bear

Homes were counted over hosts that leave as well: "aside:2 far:75 ok:3 slow:1 state:18 near=0.99 tight=true" for a reject. Cold hosts got 19 flows a second where the module's own budget has some 100 due, as the node with a flow was seldom the one with something due to just that host. Lines at fault: near and passOver in balance/balance.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,64 +8,43 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand"
 	"slices"
 )
 
 const (
-	marginAbs   = 20_000    // a challenger must win by this and
-	marginShare = 0.25      // by this share of the leader's latency
-	capFactor   = 1.25      // a server may hold this times the mean load for its size
-	capGroup    = 2.5       // and this times for a flow whose group it holds
-	capUntold   = 1.5       // or this, and placed flows move from it, where nobody tells of slow messages
-	capAgain    = 1.6       // times that, placed flows move that came again
-	capFloor    = 1.0       // and this many usual flows besides
-	probeEvery  = 5_000_000 // at most; four fifths of it at least
-	probeSoon   = 700_000   // for skipped servers
-	probeLate   = 1_000     // over the fastest, besides a share of it, is late
-	failStreak  = 3         // failed set-ups in a row that skip a server
-	goodStreak  = 2         // good probes in a row that bring it back
-	setupSlow   = 2         // times the usual set-up; the rest counts as messages' time where nobody tells
-	rampTime    = 10_000_000
-	rampStart   = 0.3
-	keepRank    = 32  // samples in a server's histogram before it is halved
-	keepAll     = 256 // samples in a node's
-	slowHold    = 4_000_000
-	budgetShare = 2.5  // of the flows of a server like it, times the stated multiple, within its warm-up
-	slotKept    = 6.0  // seconds that a set-up due to a cold server is kept
-	heldLeft    = 0.99 // of the flows that this node held a tenth of a second ago
-	limitCut    = 0.8
-	limitGain   = 0.03       // of itself a second, of the mean share at least
-	limitFloor  = 0.5        // of the mean share for its size
-	moveShare   = 0.12       // of a slow server's own load a second
-	strayEvery  = 2 * second // flows that leave it for certain, being away from their group's homes
-	spread      = 6.0        // servers by hash that a group keeps to at most, besides its share of the flows
-	spreadLeast = 2.0        // and at least; one in five between
-	thin        = 20.0       // flows of other groups that are taken for granted
-	tightShare  = 0.6        // of these while many servers are unwell
-	idleShare   = 0.5        // of the mean share: a server that holds less takes what no home of its group can
-	wellShare   = 0.75       // of the servers, over which groups may go anywhere
-	firstLoad   = 30_000     // of any flow until one has been told, microseconds of work a second
-	mostKnown   = 4096
-	mostHint    = 100.0      // times the mean of its service type
-	askSpread   = 50_000     // a node, within which all nodes ask for their first list
-	askStood    = 3_000_000  // a watch that stood for so long was no refusal
-	shareLeast  = 5          // servers in a node's share, and nodes that share a server
-	fullAt      = 0.85       // reported load over what it can do, from which a server gets nothing new,
-	fullLeast   = 0.6        // or less, down to this,
-	fullFactor  = 1.5        // where it is over this times the mean report
-	mostWell    = 0.6        // of servers in use; with fewer, many nodes would pile onto what one told
-	hotMean     = 0.7        // a mean over which nothing is sure; under this report limits come back faster,
-	roomMean    = 0.5        // and up to which the fleet has room
-	roomGain    = 2.5        // times as fast
-	sharedWork  = 2.0        // of a group on a server, in usual flows
-	oneCore     = 1e-6       // of what a server can do, that a unit of load takes at most
-	riseMost    = 0.3        // by which a report may be over the last one, or over fullAt
-	newsKept    = 8 * second // a report counts for so long; then a node says again where it holds a group
-	reportAge   = second     // what was placed so shortly before a report is not in it
-	tellEvery   = second / 2
-	never       = int64(1) << 62
-	noLimit     = 1e18
+	marginAbs, marginShare = 20_000, 0.25 // a challenger must win by both, one of them a share of the leader's
+	capFactor, capGroup    = 1.25, 2.5    // times the mean load for its size; for a flow whose group it holds
+	capUntold, capAgain    = 1.5, 1.6     // where slow messages are untold; times that, moves of who came again
+	capFloor, setupSlow    = 1.0, 2       // usual flows besides; times the usual set-up
+	failStreak, goodStreak = 3, 2         // failed set-ups skip a server, good probes bring it back
+
+	probeEvery, probeSoon = 5_000_000, 700_000 // at most, four fifths of it at least; for skipped servers
+	probeLate             = 1_000              // over the fastest, besides a share of it
+	rampTime, rampStart   = 10_000_000, 0.3
+	slowHold, strayEvery  = 4_000_000, 2 * second // between flows that leave for certain, as strays
+	askSpread, askStood   = 50_000, 3_000_000     // a node, within which all ask; a watch that stood so long
+
+	keepRank, keepAll     = 32, 256     // samples of a server, of a node, before they are halved
+	budgetShare, slotKept = 2.5, 6.0    // of a server's flows, by the multiple, a warm-up; kept seconds
+	heldLeft, firstLoad   = 0.99, 30000 // of own flows 0.1 s ago; of a flow until told, microseconds a second
+	limitCut, limitFloor  = 0.8, 0.5    // of own load; of the mean share for its size
+	limitGain, moveShare  = 0.03, 0.12  // of itself a second, the mean share at least; of a slow server's load
+	spread, spreadLeast   = 6.0, 2.0    // servers by hash for a group besides its part; n/5 between
+	homesShare            = 0.35        // in a large fleet: of that part
+	thin, tightShare      = 20.0, 0.6   // flows of others taken for granted; of homes while many are unwell
+	idleShare, wellShare  = 0.5, 0.75   // of the mean share, and of servers, from which groups go anywhere
+	mostKnown, mostHint   = 4096, 100.0 // keys; times the mean of its service type
+	shareLeast            = 5           // servers in a node's share, and nodes that share a server
+	fullAt, fullLeast     = 0.85, 0.6   // reported load over what it can do, that is full; at least
+	fullFactor, mostWell  = 1.5, 0.6    // times the mean report between; of servers in use, or told homes wait
+	hotMean, roomMean     = 0.7, 0.5    // mean report where nothing is sure, up to which there is room
+	roomGain, sharedWork  = 2.5, 2.0    // times as fast limits grow then; of a group, in usual flows
+	oneCore, riseMost     = 1e-6, 0.3   // of a server, by a unit of load; of a report over the last or fullAt
+
+	newsKept, reportAge = 8 * second, second // a report or home counts; what was placed since is not in it
+	never, noLimit      = int64(1) << 62, 1e18
 )
 
 func New(set *Settings, seed int64) *Balancer {
@@ -120,10 +99,9 @@
 // both margins, one that holds the flow's group comes first, then the group's hash picks.
 func (b *Balancer) place(f *Flow) {
 	b.rank()
-	mean := b.mean()
+	mean, ready, bestAt, leastAt := b.mean(), 0, 0.0, 0.0
 	var head, best, least, idle *Server
-	ready, bestAt, leastAt := 0, 0.0, 0.0
-	near, tight, chance := b.near(f)
+	near, last, tight, chance := b.near(f)
 	for _, s := range b.order {
 		if !s.share && f.Group == nil && !f.Passed && least != nil {
 			break // the rest of the list only when the share has none
@@ -139,21 +117,18 @@
 			continue
 		}
 		like, factor := f.liking(s, chance > mostWell || b.step == 1), capFactor
-		if like < near && tight {
+		if like < last {
 			low := s.load < idleShare*mean*s.Size*b.warm(s) && (idle == nil || s.load < idle.load)
-			if b.set.Nodes < shareLeast && low && !b.passOver(s) {
+			if b.set.Nodes < shareLeast && low && !b.passOver(s, f) {
 				idle = s
 			}
 			continue
 		}
-		if b.passOver(s) {
+		if b.passOver(s, f) {
 			continue
 		}
-		if f.Group != nil && like >= near && like < 1 && b.step > 1 && !b.set.Peers {
-			like = near + (1-near)*b.rng.Float64()/2 // guards the first by hash against a flow from each node
-			if s.Zone == b.set.Zone {
-				like += (1 - near) / 2
-			}
+		if f.Group != nil && like >= near && like < 1 && b.sparse() {
+			like = near + (1-near)*math.Pow(b.rng.Float64(), s.draw) // guards the first by hash against all nodes
 		}
 		local := f.Group != nil && b.local(s)
 		if local {
@@ -187,7 +162,8 @@
 		b.giveUp(f)
 		return
 	}
-	best.slot = best.budget + b.rng.ExpFloat64()
+	due, _ := b.dues(best, f)
+	due.slot = due.budget + b.rng.ExpFloat64()
 	f.server, f.sent = best, b.now
 	f.Tries++
 	best.add(f)
@@ -202,19 +178,20 @@
 	} else if f.Group == nil {
 		return 0
 	}
-	like := share(f.Group.Hash ^ s.Hash)
+	like := math.Pow(share(f.Group.Hash^s.Hash), cmp.Or(s.draw, 1))
 	if at := f.Group.homes[s]; f.Group.held[s] > 0 || room && at > 0 {
 		like++
 	}
 	return like
 }
 
-// near is the liking from which a server may take a flow of this group. Guards against scatter.
-func (b *Balancer) near(f *Flow) (like float64, tight bool, chance float64) {
+// near is the liking of a home of the flow's group, last that of what takes the rest. Guards against scatter.
+func (b *Balancer) near(f *Flow) (like, last float64, tight bool, chance float64) {
 	if f.Group == nil {
-		return 0, false, 1
+		return 0, 0, false, 1
 	}
-	n, all, used, well := float64(len(b.servers)), thin, 0.0, 0.0
+	n, all, used, well, likes := float64(len(b.servers)), thin, 0.0, 0.0, b.likes[:0]
+	b.coldWarm = 0
 	for _, s := range b.servers {
 		all += float64(len(s.flows) + s.taken)
 		if s.load > 0 || b.now-s.triedAt < 3*second {
@@ -223,13 +200,28 @@
 				well++
 			}
 		}
+		if s.draw = 1; b.sparse() && s.State == Up {
+			if s.draw /= s.Size * b.warm(s); b.warm(s) < 1 { // it is empty, and gets more as far as the rule goes
+				s.draw, b.coldWarm = s.draw/b.set.FallMultiple, b.coldWarm+b.warm(s)
+			}
+			likes = append(likes, f.liking(s, false))
+		}
+	}
+	homes, share := min(max(n/shareLeast, spreadLeast), spread), n*float64(f.Group.count+f.Group.taken)/all
+	if tight, chance = used > 0 && well <= used*wellShare, (well+2)/(used+2); len(likes) > 0 {
+		// Guards a large fleet whose nodes can't see where others put a group: homes are the first that are up, few
+		// more take what they can't, and what none of these takes is rejected.
+		b.likes = likes
+		slices.Sort(likes)
+		homes = spreadLeast + homesShare*share
+		like = likes[max(len(likes)-int(homes+b.rng.Float64()), 0)]
+		return like, likes[max(len(likes)-int(homes+0.5), 0)], tight, chance
 	}
-	least := min(max(n/shareLeast, spreadLeast), spread)
-	homes := least + n*float64(f.Group.count+f.Group.taken)/all
-	if tight = used > 0 && well <= used*wellShare; tight {
+	if homes += share; tight {
 		homes = max(homes*tightShare, spreadLeast)
+		last = 1 - homes/n
 	}
-	return 1 - homes/n, tight, (well + 2) / (used + 2)
+	return 1 - homes/n, last, tight, chance
 }
 
 // usable tells whether the rules and the streaks let this flow go to this server.
@@ -247,24 +239,37 @@
 }
 
 // passOver tells whether a server is left out now: a cold one by its budget, one that is back by chance.
-func (b *Balancer) passOver(s *Server) bool {
-	if warm := b.warm(s); b.bounds.Granted(s) {
+func (b *Balancer) passOver(s *Server, f *Flow) bool {
+	if b.bounds.Granted(s) {
 		return false
-	} else if warm < 1 {
+	} else if b.warm(s) < 1 {
 		// Guards against all nodes pushing over a cold server: it takes as many flows as one like it holds in its
 		// warm-up, times what it can bear, each node its part at random moments. Unused they lapse by slotKept.
+		due, warm := b.dues(s, f)
 		rate := budgetShare * b.set.FallMultiple * warm * b.held * second / float64(b.set.ColdTime)
-		s.budget += rate * float64(b.now-s.budgetAt) / second
-		if s.budgetAt = b.now; s.budget > s.slot+slotKept*rate {
-			s.slot = s.budget - slotKept*rate + b.rng.ExpFloat64()
+		due.budget += rate * float64(b.now-due.at) / second
+		if due.at = b.now; due.budget > due.slot+slotKept*rate {
+			due.slot = due.budget - slotKept*rate + b.rng.ExpFloat64()
 		}
-		if s.budget < s.slot {
+		if due.budget < due.slot {
 			return true
 		}
 	}
 	return b.now < s.rampTo && b.rng.Float64() >= 1-(1-rampStart)*float64(s.rampTo-b.now)/rampTime
 }
 
+// sparse: a node has a flow or two for each server that it uses, and hears nothing of what others have there.
+func (b *Balancer) sparse() bool { return b.step > 1 && !b.set.Peers && b.set.Bounds == nil }
+
+// dues are set-ups due and the warmth they grow by. In a large fleet few nodes have a flow for one server's.
+func (b *Balancer) dues(s *Server, f *Flow) (*Dues, float64) {
+	warm := b.warm(s)
+	if warm < 1 && b.sparse() && f.Group != nil {
+		return &b.cold, b.coldWarm
+	}
+	return &s.due, warm
+}
+
 // warm is the share of its size that a server can bear by now. Guards cold ones against a full share of load.
 func (b *Balancer) warm(s *Server) float64 {
 	if end := s.Started + b.set.ColdTime; s.Started > 0 && b.now < end {
@@ -563,7 +568,7 @@
 		s.news = false
 	}
 	b.out.Tell(b.news, b.homes)
-	b.news, b.homes, b.tellAt = b.news[:0], b.homes[:0], b.now+tellEvery
+	b.news, b.homes, b.tellAt = b.news[:0], b.homes[:0], b.now+second/2
 }
 
 // even moves the heaviest flow whose server, without it, holds over this. Guards flows on one that drowns.
@@ -583,7 +588,7 @@
 
 // strays tells whether a flow stands away from the first servers of its group.
 func (b *Balancer) strays(f *Flow, s *Server) bool {
-	near, _, _ := b.near(f)
+	near, _, _, _ := b.near(f)
 	return f.Group != nil && share(f.Group.Hash^s.Hash) < near
 }
 
@@ -676,7 +681,7 @@
 		}
 	}
 	if started > s.Started {
-		s.budget, s.slot, s.budgetAt, s.limit = 0, b.rng.ExpFloat64(), b.now, noLimit
+		s.due, s.limit = Dues{0, b.rng.ExpFloat64(), b.now}, noLimit
 		s.latency.Reset()
 		s.failures, s.skipped, b.void = 0, false, true
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -139,7 +139,7 @@
 	f := b.flow()
 	f.Group = &Group{Hash: 5}
 	b.servers[0].add(f)
-	if near, _, _ := b.near(f); 20*(1-near) > 6 {
+	if near, _, _, _ := b.near(f); 20*(1-near) > 6 {
 		t.Fatalf("%.0f homes of 20", 20*(1-near))
 	}
 	for range 200 {
@@ -147,7 +147,7 @@
 		g.Group = f.Group
 		b.servers[0].add(g)
 	}
-	if near, _, _ := b.near(f); 20*(1-near) < 15 {
+	if near, _, _, _ := b.near(f); 20*(1-near) < 15 {
 		t.Fatalf("%.0f homes of 20 for a group that is all there is", 20*(1-near))
 	}
 }
@@ -551,8 +551,8 @@
 // All drown, and each node knows it of its few servers only: second kingston incident at full size.
 func TestUnknownServersAreAsWellAsThoseInUse(t *testing.T) {
 	b, w := large()
-	_, blind, _ := b.near(&Flow{Group: &Group{}}) // a node that uses no server yet turns no group away
-	others := slices.Clone(b.servers)             // than the group's homes
+	_, _, blind, _ := b.near(&Flow{Group: &Group{}}) // a node that uses no server yet turns no group away
+	others := slices.Clone(b.servers)                // than the group's homes
 	slices.SortFunc(others, func(x, y *Server) int {
 		f := &Flow{Group: &Group{Hash: 5}}
 		return cmp.Compare(f.liking(x, false), f.liking(y, false))
@@ -897,13 +897,13 @@
 func TestASetUpDueToAColdServerIsNotRefusedByChance(t *testing.T) {
 	b, _ := start(3, Repeatable, ScopeAll)
 	s := b.servers[0]
-	s.Started, s.budgetAt = b.now, b.now
+	s.Started, s.due.at = b.now, b.now
 	for range 20 {
-		if b.passOver(s) {
+		if b.passOver(s, &Flow{}) {
 			t.Fatal("left out though a set-up is due")
 		}
 	}
-	if s.slot = 1; !b.passOver(s) {
+	if s.due.slot = 1; !b.passOver(s, &Flow{}) {
 		t.Fatal("taken though none is due")
 	}
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -106,6 +106,9 @@
 	homes    []Home // that the other nodes have not been told
 	tellAt   int64  // when they may next be told
 	logAt    int64
+	cold     Dues    // to all cold servers together
+	coldWarm float64 // the sum of their warmth
+	likes    []float64
 }
 
 // Group is a set of flows that share work on a server. Hash is the same at every node.
@@ -151,6 +154,13 @@
 	pos      int // in server.flows
 }
 
+// Dues are set-ups due from this node.
+type Dues struct {
+	budget float64
+	slot   float64 // the budget at which the next may be made
+	at     int64   // when it was worked out
+}
+
 // State is what the server list says.
 type State uint8
 
@@ -184,9 +194,8 @@
 	failedAt int64
 	triedAt  int64
 	rampTo   int64
-	budget   float64 // set-ups due to it from this node while it is cold
-	slot     float64 // the budget at which the next may be made
-	budgetAt int64
+	due      Dues    // set-ups due to it from this node while it is cold
+	draw     float64 // one over what it can bear by now, as large fleets draw groups' homes; 0 where they don't
 	growAt   int64
 	cutAt    int64
 	limit    float64 // own load it may hold, known once messages turn slow
