Cold hosts: dues begin when a host does, half of their sum; only from fifty nodes and hosts

Seen: fleets of 40 to 54 hosts. Lines at fault: passOver credited the sum for all the time since it was last asked for, so that every node had six seconds' worth when the first cold hosts came; a host to which several groups fall got more than its part; few hosts make that likelier.

Change: the sum begins when a server does, half of it is used, and all of the new way acts from fifty nodes and hosts on; smaller fleets go as before, own zone first included.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,42 +14,41 @@
 )
 
 const (
-	marginAbs, marginShare = 20_000, 0.25 // a challenger must win by both, one of them a share of the leader's
-	capFactor, capGroup    = 1.25, 2.5    // times the mean load for its size; for a flow whose group it holds
-	capUntold, capAgain    = 1.5, 1.6     // where slow messages are untold; times that, moves of who came again
-	capFloor, setupSlow    = 1.0, 2       // usual flows besides; times the usual set-up
-	failStreak, goodStreak = 3, 2         // failed set-ups skip a server, good probes bring it back
-
-	probeEvery, probeSoon = 5_000_000, 700_000 // at most, four fifths of it at least; for skipped servers
-	probeLate             = 1_000              // over the fastest, besides a share of it
-	rampTime, rampStart   = 10_000_000, 0.3
+	marginAbs, marginShare         = 20_000, 0.25 // a challenger must win by both, of the leader's
+	capFactor, capGroup            = 1.25, 2.5    // of the mean load for its size; where the group is
+	capUntold, capAgain            = 1.5, 1.6     // where untold; times that, moves of who came again
+	capFloor, setupSlow, rampStart = 1.0, 2, 0.3  // usual flows besides; times the usual set-up; of a share
+	failStreak, goodStreak         = 3, 2         // failed set-ups skip a server, good probes bring it back
+
+	probeEvery, probeSoon = 5_000_000, 700_000    // at most, four fifths of it at least; for skipped servers
+	rampTime, probeLate   = 10_000_000, 1_000     // of a share; over the fastest probe, besides a share of it
 	slowHold, strayEvery  = 4_000_000, 2 * second // between flows that leave for certain, as strays
 	askSpread, askStood   = 50_000, 3_000_000     // a node, within which all ask; a watch that stood so long
 
-	keepRank, keepAll     = 32, 256     // samples of a server, of a node, before they are halved
-	budgetShare, slotKept = 2.5, 6.0    // of a server's flows, by the multiple, a warm-up; kept seconds
-	heldLeft, firstLoad   = 0.99, 30000 // of own flows 0.1 s ago; of a flow until told, microseconds a second
-	limitCut, limitFloor  = 0.8, 0.5    // of own load; of the mean share for its size
-	limitGain, moveShare  = 0.03, 0.12  // of itself a second, the mean share at least; of a slow server's load
-	spread, spreadLeast   = 6.0, 2.0    // servers by hash for a group besides its part; n/5 between
-	homesShare            = 0.35        // in a large fleet: of that part
-	thin, tightShare      = 20.0, 0.6   // flows of others taken for granted; of homes while many are unwell
-	idleShare, wellShare  = 0.5, 0.75   // of the mean share, and of servers, from which groups go anywhere
-	mostKnown, mostHint   = 4096, 100.0 // keys; times the mean of its service type
-	shareLeast            = 5           // servers in a node's share, and nodes that share a server
-	fullAt, fullLeast     = 0.85, 0.6   // reported load over what it can do, that is full; at least
-	fullFactor, mostWell  = 1.5, 0.6    // times the mean report between; of servers in use, or told homes wait
-	hotMean, roomMean     = 0.7, 0.5    // mean report where nothing is sure, up to which there is room
-	roomGain, sharedWork  = 2.5, 2.0    // times as fast limits grow then; of a group, in usual flows
-	oneCore, riseMost     = 1e-6, 0.3   // of a server, by a unit of load; of a report over the last or fullAt
+	keepRank, keepAll      = 32, 256     // samples of a server, of a node, before they are halved
+	budgetShare, slotKept  = 2.5, 6.0    // of a server's flows, by the multiple, a warm-up; kept seconds
+	heldLeft, firstLoad    = 0.99, 30000 // of own flows 0.1 s ago; of a flow until told, microseconds a second
+	limitCut, limitFloor   = 0.8, 0.5    // of own load; of the mean share for its size
+	limitGain, moveShare   = 0.03, 0.12  // of itself a second, the mean share at least; of a slow server's load
+	spread, spreadLeast    = 6.0, 2.0    // servers by hash for a group besides its part; n/5 between
+	homesShare, sparseFrom = 0.35, 10    // of that part in a sparse fleet; step from which one is
+	thin, tightShare       = 20.0, 0.6   // flows of others taken for granted; of homes while many are unwell
+	idleShare, wellShare   = 0.5, 0.75   // of the mean share, and of servers, from which groups go anywhere
+	mostKnown, mostHint    = 4096, 100.0 // keys; times the mean of its service type
+	shareLeast             = 5           // servers in a node's share, and nodes that share a server
+	fullAt, fullLeast      = 0.85, 0.6   // reported load over what it can do, that is full; at least
+	fullFactor, mostWell   = 1.5, 0.6    // times the mean report between; of servers in use, or told homes wait
+	hotMean, roomMean      = 0.7, 0.5    // mean report where nothing is sure, up to which there is room
+	roomGain, sharedWork   = 2.5, 2.0    // times as fast limits grow then; of a group, in usual flows
+	oneCore, riseMost      = 1e-6, 0.3   // of a server, by a unit of load; of a report over the last or fullAt
 
 	newsKept, reportAge = 8 * second, second // a report or home counts; what was placed since is not in it
 	never, noLimit      = int64(1) << 62, 1e18
 )
 
 func New(set *Settings, seed int64) *Balancer {
-	n := len(set.Types)
-	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
+	n, first := len(set.Types), Dues{slot: 2 * share(uint64(seed))}
+	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never, cold: first,
 		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, bounds: free{}}
 	if set.Bounds != nil {
 		b.bounds = set.Bounds
@@ -127,8 +126,11 @@
 		if b.passOver(s, f) {
 			continue
 		}
-		if f.Group != nil && like >= near && like < 1 && b.sparse() {
-			like = near + (1-near)*math.Pow(b.rng.Float64(), s.draw) // guards the first by hash against all nodes
+		if f.Group != nil && like >= near && like < 1 && b.step > 1 && !b.set.Peers {
+			like = near + (1-near)*math.Pow(b.rng.Float64(), s.draw)/2 // guards the first by hash against all nodes
+			if s.Zone == b.set.Zone && !b.sparse() {
+				like += (1 - near) / 2
+			}
 		}
 		local := f.Group != nil && b.local(s)
 		if local {
@@ -190,7 +192,7 @@
 	if f.Group == nil {
 		return 0, 0, false, 1
 	}
-	n, all, used, well, likes := float64(len(b.servers)), thin, 0.0, 0.0, b.likes[:0]
+	n, all, used, well, likes := float64(len(b.servers)), thin, 0.0, 0.0, []float64{}
 	b.coldWarm = 0
 	for _, s := range b.servers {
 		all += float64(len(s.flows) + s.taken)
@@ -209,9 +211,7 @@
 	}
 	homes, share := min(max(n/shareLeast, spreadLeast), spread), n*float64(f.Group.count+f.Group.taken)/all
 	if tight, chance = used > 0 && well <= used*wellShare, (well+2)/(used+2); len(likes) > 0 {
-		// Guards a large fleet whose nodes can't see where others put a group: homes are the first that are up, few
-		// more take what they can't, and what none of these takes is rejected.
-		b.likes = likes
+		// Guards nodes that can't see where others put a group: its homes are up, and reject what they can't take.
 		slices.Sort(likes)
 		homes = spreadLeast + homesShare*share
 		like = likes[max(len(likes)-int(homes+b.rng.Float64()), 0)]
@@ -258,14 +258,14 @@
 	return b.now < s.rampTo && b.rng.Float64() >= 1-(1-rampStart)*float64(s.rampTo-b.now)/rampTime
 }
 
-// sparse: a node has a flow or two for each server that it uses, and hears nothing of what others have there.
-func (b *Balancer) sparse() bool { return b.step > 1 && !b.set.Peers && b.set.Bounds == nil }
+// sparse: fifty nodes and servers at least; a node has few flows and hears nothing of what others have where.
+func (b *Balancer) sparse() bool { return b.step >= sparseFrom && !b.set.Peers && b.set.Bounds == nil }
 
 // dues are set-ups due and the warmth they grow by. In a large fleet few nodes have a flow for one server's.
 func (b *Balancer) dues(s *Server, f *Flow) (*Dues, float64) {
 	warm := b.warm(s)
 	if warm < 1 && b.sparse() && f.Group != nil {
-		return &b.cold, b.coldWarm
+		return &b.cold, b.coldWarm / 2 // guards a server to which more than its part of the groups falls
 	}
 	return &s.due, warm
 }
@@ -681,7 +681,7 @@
 		}
 	}
 	if started > s.Started {
-		s.due, s.limit = Dues{0, b.rng.ExpFloat64(), b.now}, noLimit
+		s.due, s.limit, b.cold.at = Dues{0, b.rng.ExpFloat64(), b.now}, noLimit, b.now
 		s.latency.Reset()
 		s.failures, s.skipped, b.void = 0, false, true
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -108,7 +108,6 @@
 	logAt    int64
 	cold     Dues    // to all cold servers together
 	coldWarm float64 // the sum of their warmth
-	likes    []float64
 }
 
 // Group is a set of flows that share work on a server. Hash is the same at every node.
