--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,9 +47,9 @@
 )
 
 func New(set *Settings, seed int64) *Balancer {
-	n, cold := len(set.Types), Dues{slot: 2 * share(uint64(seed))}
+	n, c := len(set.Types), Dues{slot: 2 * share(uint64(seed))}
 	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
-		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, bounds: free{}, cold: cold}
+		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, bounds: free{}, cold: c}
 	if set.Bounds != nil {
 		b.bounds = set.Bounds
 	}
