--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,9 +49,9 @@
 func New(set *Settings, seed int64) *Balancer {
 	n, c := len(set.Types), Dues{slot: 2 * share(uint64(seed))}
 	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
-		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, bounds: free{}, cold: c}
-	if set.Bounds != nil {
-		b.bounds = set.Bounds
+		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, cold: c}
+	if b.bounds = set.Bounds; b.bounds == nil {
+		b.bounds = free{}
 	}
 	for i, t := range set.Types {
 		b.loads[i].Add(firstLoad, 1)
