Strays by the fit that homes go by; dues kept through a release; tests shortened

Cause, seen on reading again. strays() compared a bare hash with a threshold that a large fleet draws by size and warmth, so flows at home on large hosts counted as astray and left first. Each list entry of a host that had started dropped what was due since the last flow: with an entry a second in a release a node that places one flow in two seconds kept half.

Change: one fit of group and server for homes and strays; dues are laid down anew only when no server was cold; a cold one is drawn by the stated multiple of its warmth, like a warm one at most. near's second threshold was the same but for rounding and is gone; New needs no seeded dues.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,27 +31,26 @@
 	limitCut, limitFloor   = 0.8, 0.5    // of own load; of the mean share for its size
 	limitGain, moveShare   = 0.03, 0.12  // of itself a second, the mean share at least; of a slow server's load
 	spread, spreadLeast    = 6.0, 2.0    // servers by hash for a group besides its part; n/5 between
-	homesShare, sparseFrom = 0.35, 10    // of that part in a sparse fleet; step from which one is
 	thin, tightShare       = 20.0, 0.6   // flows of others taken for granted; of homes while many are unwell
 	idleShare, wellShare   = 0.5, 0.75   // of the mean share, and of servers, from which groups go anywhere
-	mostKnown, mostHint    = 4096, 100.0 // keys; times the mean of its service type
-	shareLeast             = 5           // servers in a node's share, and nodes that share a server
+	shareLeast, sparseFrom = 5, 10       // servers in a share, nodes that share one; from so many shares sparse
 	fullAt, fullLeast      = 0.85, 0.6   // reported load over what it can do, that is full; at least
 	fullFactor, mostWell   = 1.5, 0.6    // times the mean report between; of servers in use, or told homes wait
 	hotMean, roomMean      = 0.7, 0.5    // mean report where nothing is sure, up to which there is room
 	roomGain, sharedWork   = 2.5, 2.0    // times as fast limits grow then; of a group, in usual flows
 	oneCore, riseMost      = 1e-6, 0.3   // of a server, by a unit of load; of a report over the last or fullAt
 
-	newsKept, reportAge = 8 * second, second // a report or home counts; what was placed since is not in it
-	never, noLimit      = int64(1) << 62, 1e18
+	newsKept, reportAge             = 8 * second, second // a report or home counts; what it does not tell of yet
+	never, noLimit                  = int64(1) << 62, 1e18
+	mostKnown, mostHint, homesShare = 4096, 100.0, 0.35 // keys; times the mean load; of a part, if sparse
 )
 
 func New(set *Settings, seed int64) *Balancer {
-	n, c := len(set.Types), Dues{slot: 2 * share(uint64(seed))}
+	n := len(set.Types)
 	b := &Balancer{set: set, rng: rand.New(rand.NewSource(seed)), void: true, alarmAt: never, tightest: never,
-		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, cold: c}
-	if b.bounds = set.Bounds; b.bounds == nil {
-		b.bounds = free{}
+		setups: make([]Hist, n), loads: make([]Mean, n), started: -1, known: map[uint64]float64{}, bounds: free{}}
+	if set.Bounds != nil {
+		b.bounds = set.Bounds
 	}
 	for i, t := range set.Types {
 		b.loads[i].Add(firstLoad, 1)
@@ -180,14 +179,17 @@
 	} else if f.Group == nil {
 		return 0
 	}
-	like := math.Pow(share(f.Group.Hash^s.Hash), cmp.Or(s.draw, 1))
+	like := f.Group.fit(s)
 	if at := f.Group.homes[s]; f.Group.held[s] > 0 || room && at > 0 {
 		like++
 	}
 	return like
 }
 
-// near is the liking of a home of the flow's group, last that of what takes the rest. Guards against scatter.
+// fit is the same at every node, and the likelier the highest of all the more a server can bear.
+func (g *Group) fit(s *Server) float64 { return math.Pow(share(g.Hash^s.Hash), cmp.Or(s.draw, 1)) }
+
+// near is the liking of a home of a flow's group, last the least that takes the flow. Guards against scatter.
 func (b *Balancer) near(f *Flow) (like, last float64, tight bool, chance float64) {
 	if f.Group == nil {
 		return 0, 0, false, 1
@@ -203,19 +205,17 @@
 			}
 		}
 		if s.draw = 1; b.sparse() && s.State == Up {
-			if s.draw /= s.Size * b.warm(s); b.warm(s) < 1 { // it is empty, and gets more as far as the rule goes
-				s.draw, b.coldWarm = s.draw/b.set.FallMultiple, b.coldWarm+b.warm(s)
+			if s.draw /= s.Size * min(b.warm(s)*b.set.FallMultiple, 1); b.warm(s) < 1 { // for it is empty
+				b.coldWarm += b.warm(s)
 			}
-			likes = append(likes, f.liking(s, false))
+			likes = append(likes, f.Group.fit(s))
 		}
 	}
 	homes, share := min(max(n/shareLeast, spreadLeast), spread), n*float64(f.Group.count+f.Group.taken)/all
 	if tight, chance = used > 0 && well <= used*wellShare, (well+2)/(used+2); len(likes) > 0 {
-		// Guards nodes that can't see where others put a group: its homes are up, and reject what they can't take.
-		slices.Sort(likes)
-		homes = spreadLeast + homesShare*share
-		like = likes[max(len(likes)-int(homes+b.rng.Float64()), 0)]
-		return like, likes[max(len(likes)-int(homes+0.5), 0)], tight, chance
+		slices.Sort(likes) // its homes are the first that are up; others could not be seen from the next node
+		like = likes[max(len(likes)-int(spreadLeast+homesShare*share+b.rng.Float64()), 0)]
+		return like, like, tight, chance
 	}
 	if homes += share; tight {
 		homes = max(homes*tightShare, spreadLeast)
@@ -586,17 +586,14 @@
 	}
 }
 
-// strays tells whether a flow stands away from the first servers of its group.
-func (b *Balancer) strays(f *Flow, s *Server) bool {
-	near, _, _, _ := b.near(f)
-	return f.Group != nil && share(f.Group.Hash^s.Hash) < near
-}
-
 // shift moves the heaviest flows until the amount is reached; one at least.
 func (b *Balancer) shift(s *Server, amount float64) {
 	for _, f := range s.flows {
 		// Guards clients of a node with many flows: where all stand astray, as after a start, all would move.
-		f.stray = amount < noLimit && b.now-b.strayAt > strayEvery && b.strays(f, s)
+		if f.stray = f.Group != nil && amount < noLimit && b.now-b.strayAt > strayEvery; f.stray {
+			near, _, _, _ := b.near(f)
+			f.stray = f.Group.fit(s) < near
+		}
 	}
 	for amount > 0 {
 		var top *Flow
@@ -681,7 +678,10 @@
 		}
 	}
 	if started > s.Started {
-		s.due, s.limit, b.cold.at = Dues{0, b.rng.ExpFloat64(), b.now}, noLimit, b.now
+		s.due, s.limit = Dues{0, b.rng.ExpFloat64(), b.now}, noLimit
+		if b.coldWarm == 0 {
+			b.cold = s.due // guards against dues for the time before any was cold
+		}
 		s.latency.Reset()
 		s.failures, s.skipped, b.void = 0, false, true
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -935,7 +935,8 @@
 	s := b.servers[0]
 	for i := range 40 {
 		f := b.flow()
-		if f.Group = (&Group{Hash: uint64(100 + i)}); b.strays(f, s) {
+		f.Group = &Group{Hash: uint64(100 + i)}
+		if near, _, _, _ := b.near(f); f.Group.fit(s) < near {
 			f.server, f.open, f.Tries = s, true, 1
 			s.add(f)
 		}
