--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,7 +25,11 @@
 		return 2
 	}
 	defer record.Close()
-	temp, err := os.MkdirTemp("", "review")
+	parent := os.TempDir()
+	if len(parent) > 40 {
+		parent = "/tmp" // the path of a Unix socket has to be short
+	}
+	temp, err := os.MkdirTemp(parent, "review")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standins/tail.go
+++ b/review/standins/tail.go
@@ -40,7 +40,9 @@
 	d := r.startDiscovery(list)
 	set := settings(map[string]any{"Name": "studio-feed", "Benefit": 3.0, "Effect": "safe", "SetupTargetMs": 300.0, "HardLimitMs": 1800.0})
 	listen := r.freeAddress()
-	n := r.startNode("n1", nodeConfig("n1", listen, r.freeAddress(), d, set))
+	config := nodeConfig("n1", listen, r.freeAddress(), d, set)
+	config["holding"] = map[string]any{"stalled_ms": 15000}
+	n := r.startNode("n1", config)
 	n.waitReady(10 * time.Second)
 	var all sync.WaitGroup
 	for i := range flows {
