Drain, resume: both processes of a roll know a command before it is answered

The new process took over, said PONG from 1 s on, and after SIGTERM to the old one held 15 of 20 clients that nobody moved. The other way round a drain at the new process's address moved none of the clients that the old one held.

Cause: whether the node is drained went over once, in the State, as it was when that was made (BeginHandover). A drain or resume afterwards was known to the process that was called and told to nobody, in neither direction. The log shows it: joining drained=false, then drained at the old process, then took_over.

Change: a command has a number and an age (handover.Command). The State carries the newest one, and so does a message from either process; the higher number holds. A call is answered with 200 once the other process has confirmed the number, so a later call at the other process is later in both, and the command outlives either process. If it is not confirmed within 0.5 s (the other process hangs) the answer is 503; the command holds here and is told as soon as the other one reads. The drain's time counts from the call in both processes, also for flows that are handed over late. Log: msg=drained and msg=resumed say by=.

--- a/cmd/coursewinch/handover.go
+++ b/cmd/coursewinch/handover.go
@@ -177,3 +177,15 @@
 		unix.Close(fd)
 	}
 }
+
+// applyUpdate handles a message that either process may send.
+func (h *handoverManager) applyUpdate(m *handover.Message) {
+	switch {
+	case m.Command != nil:
+		h.node.ReceiveCommand(*m.Command)
+	case m.Confirmed != 0:
+		h.node.CommandConfirmed(m.Confirmed)
+	case m.Drains != nil:
+		h.node.ApplyPeerDrains(m.Drains)
+	}
+}
--- a/cmd/coursewinch/predecessor.go
+++ b/cmd/coursewinch/predecessor.go
@@ -75,8 +75,8 @@
 		case m.Take:
 			link.SetTimeout(0)
 			h.post(func() { h.yieldTo(successor) })
-		case m.Drains != nil:
-			h.post(func() { h.node.ApplyPeerDrains(m.Drains) })
+		default:
+			h.post(func() { h.applyUpdate(m) })
 		}
 	}
 }
--- /dev/null
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// drainedWithin is the time within which a drained node says no to PING and has told all its clients to move.
+const drainedWithin = 4 * time.Second
+
+// socketFolder returns a new folder with a path that is short enough for a Unix socket, whatever the name of the test.
+func socketFolder(t *testing.T) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "roll")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	return folder
+}
+
+// silentDiscovery is a discovery service that accepts calls and answers none, so that a new process stays joining for its
+// whole join timeout.
+func silentDiscovery(t *testing.T) *fakeDiscovery {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return &fakeDiscovery{addr: listener.Addr().String()}
+}
+
+// wantCommand makes an operators' call that has to be answered with 200.
+func (p *program) wantCommand(t *testing.T, name string) {
+	t.Helper()
+	if status, body := p.callAdmin(t, "PUT", "/-/"+name); status != 200 {
+		t.Fatalf("%s: %d %s", name, status, body)
+	}
+}
+
+// wantPing asks for an answer to PING on a new connection.
+func (p *program) wantPing(t *testing.T, want string) {
+	t.Helper()
+	c := p.dial(t)
+	io.WriteString(c, "PING\r\n")
+	c.wantLine(t, want)
+	c.Close()
+}
+
+// kill kills a process and waits for its end.
+func (p *program) kill(t *testing.T) {
+	t.Helper()
+	p.cmd.Process.Kill()
+	p.waitExit(t)
+}
+
+// A drain during a roll is answered with 200, so the node stays drained whichever process ends then, and until a resume. The
+// phases are made by a discovery that does not answer the new process, or does. Before the fix, the process that was not
+// called said PONG (review/3).
+func TestDrainDuringRollOutlivesEitherProcess(t *testing.T) {
+	for _, phase := range []string{"joining", "taken over"} {
+		for _, called := range []string{"old", "new"} {
+			for _, ends := range []string{"old is killed", "old is stopped", "new is killed"} {
+				t.Run(phase+"/"+called+" is drained/"+ends, func(t *testing.T) {
+					t.Parallel()
+					l, d := startHostsAndDiscovery(t)
+					folder := socketFolder(t)
+					old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+					held := old.openFlow(t, "")
+					held.wantLine(t, "UP 1\r\n")
+					forNew := d
+					if phase == "joining" {
+						forNew = silentDiscovery(t)
+					}
+					new := startNodeWithAdmin(t, forNew, l, 400, folder)
+					if phase == "taken over" {
+						old.waitFor(t, "msg=yielded")
+					}
+					start := time.Now()
+					map[string]*program{"old": old, "new": new}[called].wantCommand(t, "drain")
+					left := new
+					switch ends {
+					case "old is killed":
+						old.kill(t)
+					case "old is stopped":
+						old.stop(t)
+					case "new is killed":
+						new.kill(t)
+						left = old
+						old.waitFor(t, "msg=other_process_gone")
+					}
+					left.wantPing(t, "NO\r\n")
+					if ends != "old is killed" { // with the old process its clients are cut off
+						held.wantLine(t, "MOVE\r\n")
+						if took := time.Since(start); took > drainedWithin {
+							t.Errorf("the client was told to move after %v", took)
+						}
+					}
+					left.wantCommand(t, "resume")
+					left.wantPing(t, "PONG\r\n")
+				})
+			}
+		}
+	}
+}
+
+// A node that was drained before a roll is put back into service during it, at either process, and stays there.
+func TestResumeDuringRollOutlivesEitherProcess(t *testing.T) {
+	for _, called := range []string{"old", "new"} {
+		for _, ends := range []string{"old is killed", "new is killed"} {
+			t.Run(called+" is resumed/"+ends, func(t *testing.T) {
+				t.Parallel()
+				l, d := startHostsAndDiscovery(t)
+				folder := socketFolder(t)
+				old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+				old.wantCommand(t, "drain")
+				new := startNodeWithAdmin(t, d, l, 400, folder)
+				old.waitFor(t, "msg=yielded")
+				map[string]*program{"old": old, "new": new}[called].wantCommand(t, "resume")
+				left, gone := new, old
+				if ends == "new is killed" {
+					left, gone = old, new
+				}
+				gone.kill(t)
+				left.waitFor(t, "msg=other_process_gone")
+				left.wantPing(t, "PONG\r\n")
+				left.waitReady(t).openFlow(t, "").wantLine(t, "UP 1\r\n")
+			})
+		}
+	}
+}
+
+// A new process that hangs cannot confirm a drain: the call is answered with 503 in time, and the old process is drained. The
+// new process learns of the drain when it goes on.
+func TestDrainWhileNewProcessHangs(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	new := startNodeWithAdmin(t, silentDiscovery(t), l, 400, folder)
+	new.cmd.Process.Signal(syscall.SIGSTOP)
+	if status, body := old.callAdmin(t, "PUT", "/-/drain"); status != 503 {
+		t.Fatal(status, body)
+	}
+	old.wantPing(t, "NO\r\n")
+	new.cmd.Process.Signal(syscall.SIGCONT)
+	new.waitFor(t, "msg=drained")
+	old.wantCommand(t, "drain")
+	old.kill(t)
+	new.waitFor(t, "msg=other_process_gone")
+	new.wantPing(t, "NO\r\n")
+}
--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -96,8 +96,6 @@
 		h.node.AddRequestIDs(m.Yield.IDs)
 	case m.Leave:
 		h.node.PredecessorStopping()
-	case m.Drains != nil:
-		h.node.ApplyPeerDrains(m.Drains)
 	case m.Client != nil:
 		h.addAdopted(h.node.AdoptClient(m.Client, epoll.PeerAddress(fds[0])), fds[0])
 	case m.Flow != nil:
@@ -107,6 +105,7 @@
 		h.node.ResumeAdopted(client.ID)
 	default:
 		closeAll(fds)
+		h.applyUpdate(m)
 	}
 }
 
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -16,7 +16,7 @@
 )
 
 // Version is the version of the messages. Both processes have to use the same one.
-const Version = 2
+const Version = 3
 
 const (
 	MaxMessageBytes = 96 << 10 // size of an encoded message
@@ -25,6 +25,9 @@
 	maxPendingBytes = 8 << 10  // bytes in transit in one direction of a connection
 	maxSockets      = 2        // sockets that come with a message
 	maxNumber       = 1e15     // every number of a Flow has to be lower
+
+	// MaxIDsPerMessage is the largest number of request ids in a message; as decimal numbers they fit into it.
+	MaxIDsPerMessage = 2000
 )
 
 // Message is one message. Exactly one field besides V is set, and says what the message is. Sockets that are sent along
@@ -43,6 +46,18 @@
 	Drains  []string `json:",omitempty"` // from either: UIDs of hosts that must not get new flows
 	Client  *Client  `json:",omitempty"` // from the predecessor: a client without a flow, with its socket
 	Flow    *Flow    `json:",omitempty"` // from the predecessor: an established flow, with the client's socket and the host's
+
+	Command   *Command `json:",omitempty"` // from either: the newest operators' command that it knows
+	Confirmed uint64   `json:",omitempty"` // from either: it knows the operators' commands up to this number
+}
+
+// Command is an operators' command: a drain or a resume. Both processes of a node obey the one with the highest number,
+// whichever of them was called. A call that changes nothing is no command, so drains and resumes take turns, and two commands
+// with the same number are the same, even if each process was called before it heard of the other's call.
+type Command struct {
+	Number  uint64 // one more than that of the newest command known to the process that was called; 0: none was ever given
+	Drained bool   // the node is drained; otherwise it serves
+	Age     int64  // microseconds since the call
 }
 
 // Hello identifies the node, so that no other node takes its place.
@@ -57,8 +72,8 @@
 
 // State is what the successor starts with.
 type State struct {
-	Room    int    // descriptors that the successor may hold, besides those that come with flows
-	Drained bool   // the node is drained
+	Room    int // descriptors that the successor may hold, besides those that come with flows
+	Command Command
 	From    string // address of the discovery service that the list came from
 	List    discovery.List
 	IDs     []uint64 // hashes of the ids that clients used
@@ -134,7 +149,7 @@
 func (m *Message) check() (wantSockets int, ok bool) {
 	kinds := 0
 	for _, present := range []bool{m.Hello != nil, m.Refused != "", m.State != nil, m.Take, m.Yield != nil, m.Leave,
-		m.Drains != nil, m.Client != nil, m.Flow != nil} {
+		m.Drains != nil, m.Client != nil, m.Flow != nil, m.Command != nil, m.Confirmed != 0} {
 		if present {
 			kinds++
 		}
@@ -148,6 +163,8 @@
 		ok = ok && m.State.No > 0 && m.State.No <= m.State.Of && m.State.Of <= maxStateBytes/maxPartBytes+1
 	case m.Yield != nil:
 		ok = ok && m.Yield.Room >= 0
+	case m.Command != nil:
+		ok = ok && m.Command.Number > 0 && m.Command.Age >= 0
 	case m.Client != nil:
 		wantSockets = 1
 		c := m.Client
@@ -211,7 +228,7 @@
 	if err := d.Decode(&s); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	if s.Room < 0 || s.Room > math.MaxInt32 {
+	if s.Room < 0 || s.Room > math.MaxInt32 || s.Command.Age < 0 {
 		return nil, errMalformed
 	}
 	for _, e := range s.List.Entries {
--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -20,19 +20,21 @@
 // disturb the start of a process.
 func TestDecodeIsStrict(t *testing.T) {
 	host := `"Host":{"UID":"s"}`
-	for text, sockets := range map[string]int{`{"V":2,"Take":true}`: 0, `{"V":2,"Drains":["s"]}`: 0,
-		`{"V":2,"State":{"No":1,"Of":2}}`: 0, `{"V":2,"State":{"No":2,"Of":2}}`: 1, `{"V":2,"Client":{}}`: 1,
-		`{"V":2,"Flow":{"Type":"chat",` + host + `}}`: 2} {
+	for text, sockets := range map[string]int{`{"V":3,"Take":true}`: 0, `{"V":3,"Drains":["s"]}`: 0,
+		`{"V":3,"Command":{"Number":1}}`: 0, `{"V":3,"Confirmed":1}`: 0,
+		`{"V":3,"State":{"No":1,"Of":2}}`: 0, `{"V":3,"State":{"No":2,"Of":2}}`: 1, `{"V":3,"Client":{}}`: 1,
+		`{"V":3,"Flow":{"Type":"chat",` + host + `}}`: 2} {
 		_, err := Decode([]byte(text), sockets)
 		if _, more := Decode([]byte(text), sockets+1); err != nil || more == nil {
 			t.Errorf("%s: %v; with one socket too many: %v", text, err, more)
 		}
 	}
 	long, _ := (&Message{Flow: &Flow{Type: "chat", Host: discovery.Entry{UID: "s"}, HostOut: make([]byte, maxPendingBytes+1)}}).Encode()
-	for _, bad := range []string{"", "{", "{}", `{"V":2}`, `{"V":1,"Take":true}`, `{"V":2,"Take":true,"Leave":true}`,
-		`{"V":2,"Take":true} x`, `{"V":2,"Take":true,"More":1}`, `{"V":2,"Yield":{"Room":-1}}`,
-		`{"V":2,"State":{"No":2,"Of":1}}`, `{"V":2,"State":{"No":1,"Of":100000}}`, `{"V":2,"Flow":{}}`,
-		`{"V":2,"Flow":{"Type":"chat","Load":-1,` + host + `}}`, `{"V":2,"Flow":{` + host + `}}`, string(long)} {
+	for _, bad := range []string{"", "{", "{}", `{"V":3}`, `{"V":2,"Take":true}`, `{"V":3,"Take":true,"Leave":true}`,
+		`{"V":3,"Take":true} x`, `{"V":3,"Take":true,"More":1}`, `{"V":3,"Yield":{"Room":-1}}`,
+		`{"V":3,"Command":{"Drained":true}}`, `{"V":3,"Command":{"Number":1,"Age":-1}}`, `{"V":3,"Command":{"Number":1},"Confirmed":1}`,
+		`{"V":3,"State":{"No":2,"Of":1}}`, `{"V":3,"State":{"No":1,"Of":100000}}`, `{"V":3,"Flow":{}}`,
+		`{"V":3,"Flow":{"Type":"chat","Load":-1,` + host + `}}`, `{"V":3,"Flow":{` + host + `}}`, string(long)} {
 		for sockets := range 3 {
 			if m, err := Decode([]byte(bad), sockets); err == nil {
 				t.Errorf("%.60s: %+v", bad, m)
--- a/node/ending.go
+++ b/node/ending.go
@@ -46,25 +46,17 @@
 	}
 }
 
-// Drain moves all flows away and keeps the node out of service until Resume. Draining a drained node changes nothing.
-func (n *Node) Drain() {
-	if n.drainAt > 0 {
-		return
-	}
-	log.Printf("msg=drained flows=%d", n.flows.count)
-	n.drainAt = n.now
+// beginDrain begins to empty the node for a drain that was called at the given time.
+func (n *Node) beginDrain(at int64) {
+	n.drainAt = at
 	n.shortenAllDeadlines()
 	if n.stopAt == 0 {
-		n.deadlines.set(&n.moveTimer, n.now+drainMoveDelay)
+		n.deadlines.set(&n.moveTimer, max(n.now, at+drainMoveDelay))
 	}
 }
 
-// Resume puts a drained node back into service.
-func (n *Node) Resume() {
-	if n.drainAt == 0 {
-		return
-	}
-	log.Printf("msg=resumed flows=%d", n.flows.count)
+// endDrain puts a drained node back into service.
+func (n *Node) endDrain() {
 	n.drainAt = 0
 	if n.stopAt == 0 {
 		n.deadlines.cancel(&n.moveTimer)
@@ -105,6 +97,17 @@
 	}
 }
 
+// hastenMoves makes a drained node move a flow that was handed over in its turn. Without flows, the next step may be far off.
+func (n *Node) hastenMoves() {
+	if n.drainAt == 0 || n.stopAt > 0 {
+		return
+	}
+	next := max(n.now+moveInterval, n.drainAt+drainMoveDelay)
+	if n.moveTimer.position == 0 || n.moveTimer.at > next {
+		n.deadlines.set(&n.moveTimer, next)
+	}
+}
+
 // lastMoveBy returns when the last client must have been moved; 0 while the node is neither drained nor stopping.
 func (n *Node) lastMoveBy() int64 {
 	switch {
--- a/node/handover.go
+++ b/node/handover.go
@@ -73,8 +73,9 @@
 	n.handover.idsAtState = n.recentIDs.added
 	n.handover.stateSent = false
 	n.handover.updates.clear(n)
+	n.commands.confirmed = 0
 	state := &handover.State{
-		Drained: n.drainAt > 0,
+		Command: n.newestCommand(),
 		From:    n.listAddr,
 		Hosts:   map[string]balance.ServerMemory{},
 		List:    discovery.List{Rev: n.listRev, All: true},
@@ -138,6 +139,7 @@
 	state.stateSent = false
 	state.yielded = false
 	state.updates.clear(n)
+	n.answerConfirmedCalls()
 	return accept
 }
 
@@ -165,11 +167,13 @@
 			}
 		}
 	}
-	if state.Drained {
-		n.Drain() // an operator's command holds beyond the process that received it
+	if state.Command.Number > 0 { // an operator's command holds beyond the process that received it
+		n.ReceiveCommand(state.Command)
+		n.commands.confirmed = state.Command.Number
 	}
 	n.deadlines.set(&n.handover.timer, n.now+joinTimeout)
-	log.Printf("msg=joining hosts=%d rev=%d ids=%d drained=%t", len(state.List.Entries), state.List.Rev, len(state.IDs), state.Drained)
+	log.Printf("msg=joining hosts=%d rev=%d ids=%d drained=%t", len(state.List.Entries), state.List.Rev, len(state.IDs),
+		state.Command.Drained)
 }
 
 // PredecessorStopping is called at a successor when its predecessor is stopping and waits for it to take over.
@@ -405,6 +409,7 @@
 	if handed.Load > 0 {
 		n.decider.LoadMeasured(&f.Flow, handed.Load)
 	}
+	n.hastenMoves()
 	return Adopted{client.id, &client.in, &client.out}, Adopted{upstream.id, &upstream.in, &upstream.out}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -204,6 +204,7 @@
 	admissionPrefix netip.Prefix // client address as counted by admission control; invalid where it is not counted
 	requestedRev    int64        // list version that a call to discovery asks to continue from; -1 for the whole list
 	stale           bool         // a watch that missed a line
+	awaitedCommand  uint64       // number of the operators' command whose confirmation a call waits for; 0 for none
 }
 
 // flow is one client's request for a connection and, once established, that connection.
@@ -294,6 +295,7 @@
 	stopAcceptTimer deadline // next check whether accepting can stop
 	acceptStoppedAt int64    // since when no connection is accepted; 0 before
 	operatorCalls   operatorQueues
+	commands        operatorCommands
 	handover        handoverState
 	cluster         *cluster // nil where the node works alone
 
--- a/node/operators.go
+++ b/node/operators.go
@@ -8,8 +8,9 @@
 	"coursewinch/lines"
 )
 
-// Operators call the node on a listener of its own. A call is answered in the loop iteration in which its request is
-// complete, so its command has taken effect before the answer is sent. Operators and clients have places of their own,
+// Operators call the node on a listener of its own. A call is carried out in the loop iteration in which its request is
+// complete and answered in the same one, so its command has taken effect before the answer is sent; during a handover, a
+// command is answered once the peer process knows it too (commands.go). Operators and clients have places of their own,
 // so that neither can use up those of the other.
 
 // MaxOperatorConns is the largest number of operators' connections at once.
@@ -33,7 +34,7 @@
 	for queues.count >= MaxOperatorConns {
 		evicted := queues.incomplete.Front()
 		for e := queues.answered.Front(); e != nil; e = e.Next() {
-			if e.Value.(*conn).out.Len() == 0 {
+			if c := e.Value.(*conn); c.out.Len() == 0 && c.awaitedCommand == 0 {
 				evicted = e
 				break
 			}
@@ -79,6 +80,16 @@
 	if status == admin.OK {
 		status, body = n.serveCall(call)
 	}
+	isCommand := call == admin.Drain || call == admin.Resume
+	if status == admin.OK && isCommand && !n.isConfirmed(n.commands.newest.Number) {
+		n.awaitConfirmation(c)
+		return
+	}
+	n.answerCall(c, status, allow, body)
+}
+
+// answerCall sends the answer to a call.
+func (n *Node) answerCall(c *conn, status int, allow, body string) {
 	c.out.RequestWide()
 	if !c.out.Put(admin.FormatResponse(status, allow, body)) {
 		c.out.Put(admin.FormatResponse(admin.InternalError, "", "the answer is too long\n"))
@@ -116,7 +127,7 @@
 
 // callEnded handles the end of an operator's connection. Without a complete request there is nothing to answer.
 func (n *Node) callEnded(c *conn) {
-	if c.err != nil || c.shedQueue == &n.operatorCalls.incomplete || c.out.Len() == 0 {
+	if c.err != nil || c.shedQueue == &n.operatorCalls.incomplete || c.out.Len() == 0 && c.awaitedCommand == 0 {
 		n.close(c)
 	}
 }
--- a/node/updates.go
+++ b/node/updates.go
@@ -19,9 +19,11 @@
 
 // peerUpdates is what the peer process has not been sent yet.
 type peerUpdates struct {
-	leave  bool            // this process stops before its successor has taken over
-	drains map[string]bool // UIDs of hosts that take no new flows
-	retry  deadline
+	command   bool            // the newest operators' command
+	confirmed uint64          // number of the newest command of the peer process; 0 if it need not be confirmed
+	leave     bool            // this process stops before its successor has taken over
+	drains    map[string]bool // UIDs of hosts that take no new flows
+	retry     deadline
 }
 
 // addDrain notes that a host takes no new flows.
@@ -61,6 +63,11 @@
 func (n *Node) nextUpdate() (message *handover.Message, sent func()) {
 	updates := &n.handover.updates
 	switch {
+	case updates.command:
+		command := n.newestCommand()
+		return &handover.Message{Command: &command}, func() { updates.command = false }
+	case updates.confirmed > 0:
+		return &handover.Message{Confirmed: updates.confirmed}, func() { updates.confirmed = 0 }
 	case len(updates.drains) > 0:
 		uids := slices.Sorted(maps.Keys(updates.drains))
 		uids = uids[:min(len(uids), maxDrainsPerMessage)]
