Ready: a drain that comes while a new version joins does not hold up the roll

Cause: /-/ready says two things with one answer, that the node takes clients and that the old process may be stopped.

Change: a process that took over while the node was being drained answers /-/ready with 200 "drained" until the drain's 3.3 s are over or the old process has ended. PING says no from the call on; a process that was ready before says no at once; 4 s after the call nothing says yes.

--- a/cmd/coursewinch/roll_commands_test.go
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -35,6 +35,50 @@
 	return &fakeDiscovery{addr: listener.Addr().String()}
 }
 
+// heldDiscovery is a discovery service whose calls are answered from the moment at which the test says so.
+type heldDiscovery struct {
+	*fakeDiscovery
+	held chan struct{}
+}
+
+// newHeldDiscovery returns a discovery service that answers calls with a list once the test calls answer.
+func newHeldDiscovery(t *testing.T, list string) *heldDiscovery {
+	t.Helper()
+	d := newDiscovery(t, list)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	held := &heldDiscovery{&fakeDiscovery{addr: listener.Addr().String()}, make(chan struct{})}
+	go func() {
+		for {
+			caller, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go held.forward(caller, d.addr)
+		}
+	}()
+	return held
+}
+
+// answer lets all calls through.
+func (h *heldDiscovery) answer() { close(h.held) }
+
+// forward passes a call on to the discovery service behind, once that is allowed.
+func (h *heldDiscovery) forward(caller net.Conn, addr string) {
+	defer caller.Close()
+	<-h.held
+	service, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	defer service.Close()
+	go io.Copy(service, caller)
+	io.Copy(caller, service)
+}
+
 // wantCommand makes an operators' call that has to be answered with 200.
 func (p *program) wantCommand(t *testing.T, name string) {
 	t.Helper()
@@ -154,3 +198,36 @@
 	new.waitFor(t, "msg=other_process_gone")
 	new.wantPing(t, "NO\r\n")
 }
+
+// The whole order of review/3: a drain while the new process joins, then the take-over and a stop of the old process. The roll
+// goes on, and all clients are told to move within the time of the drain.
+func TestRollGoesOnDuringDrain(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	var held []*testClient
+	for range 20 {
+		c := old.openFlow(t, "")
+		c.wantLine(t, "UP 1\r\n")
+		held = append(held, c)
+	}
+	late := newHeldDiscovery(t, l)
+	new := startNodeWithAdmin(t, late.fakeDiscovery, l, 400, folder)
+	start := time.Now()
+	old.wantCommand(t, "drain")
+	late.answer()
+	new.waitReady(t)
+	new.wantPing(t, "NO\r\n")
+	old.stop(t)
+	new.wantPing(t, "NO\r\n")
+	for _, c := range held {
+		c.wantLine(t, "MOVE\r\n")
+	}
+	if took := time.Since(start); took > drainedWithin {
+		t.Errorf("the last client was told to move after %v", took)
+	}
+	new.wantPing(t, "NO\r\n")
+	if status, body := new.callAdmin(t, "GET", "/-/ready"); status != 503 || body != "drained\n" {
+		t.Error(status, body)
+	}
+}
--- a/node/commands_test.go
+++ b/node/commands_test.go
@@ -279,3 +279,41 @@
 		t.Fatalf("%v, %q", toNew.moved, successor.sent[toNew.moved[client]])
 	}
 }
+
+// A drain that comes while a new process joins does not hold up the roll: the new process tells operators that it has taken over,
+// until the drain's time is over, and the front never that it can have clients. A process that has taken over before says no at
+// once, and so does one whose predecessor has ended.
+func TestDrainDoesNotHoldUpARoll(t *testing.T) {
+	wantReady := func(net *fakeNet, status int, body string) {
+		t.Helper()
+		if got, text := net.callOperator(t, "GET", "/-/ready"); got != status || text != body {
+			t.Fatal(got, text, "want", status, body)
+		}
+		if net.node.answersFront() {
+			t.Fatal("PING is answered PONG")
+		}
+	}
+	for _, predecessorEnds := range []bool{false, true} {
+		p, _ := startRoll(t, 0)
+		p.old.run(1, p.old.node.StateSent)
+		command(p.old, "drain")
+		p.exchange()
+		wantReady(p.new, 503, "drained\n")
+		p.takeOver()
+		wantReady(p.new, 200, "drained\n")
+		wantReady(p.old, 503, "drained\n")
+		if predecessorEnds {
+			p.new.run(1, func() { p.new.node.PeerProcessGone() })
+		} else {
+			p.new.runUntil(p.new.node.drainAt + drainDuration)
+		}
+		wantReady(p.new, 503, "drained\n")
+	}
+	p, _ := startRoll(t, 0)
+	p.old.run(1, p.old.node.StateSent)
+	p.takeOver()
+	p.new.run(second, func() {})
+	command(p.new, "drain")
+	p.exchange()
+	wantReady(p.new, 503, "drained\n")
+}
--- a/node/handover.go
+++ b/node/handover.go
@@ -38,6 +38,7 @@
 	peer          PeerProcess
 	isPredecessor bool // the peer process is the successor
 	joining       bool // successor that has not taken over yet
+	tookOverAt    int64
 	isSuccessor   bool // this process started as a successor, so its first list is the one its predecessor used
 	stateSent     bool // predecessor that has sent its state
 	yielded       bool // predecessor whose successor has taken over
@@ -186,6 +187,7 @@
 		return
 	}
 	state.joining = false
+	state.tookOverAt = n.now
 	n.deadlines.cancel(&state.timer)
 	log.Printf("msg=took_over hosts=%d rev=%d", len(n.hostList), n.listRev)
 	state.peer.TakeOver()
--- a/node/operators.go
+++ b/node/operators.go
@@ -102,7 +102,7 @@
 func (n *Node) serveCall(call admin.Call) (status int, body string) {
 	switch call {
 	case admin.Ready:
-		if !n.Ready() {
+		if !n.Ready() && !n.tookOverDuringDrain() {
 			return admin.NotReady, n.state() + "\n"
 		}
 		return admin.OK, n.state() + "\n"
@@ -132,8 +132,11 @@
 	}
 }
 
-// stateNoList is the state of a node without a usable list.
-const stateNoList = "no list"
+// States of a node, as shown to operators, that are compared elsewhere.
+const (
+	stateDrained = "drained"
+	stateNoList  = "no list" // without a usable list
+)
 
 // state returns the node's state as shown to operators. The node serves clients in the state "ready" only.
 func (n *Node) state() string {
@@ -141,7 +144,7 @@
 	case n.stopAt > 0:
 		return "ending"
 	case n.drainAt > 0:
-		return "drained"
+		return stateDrained
 	case n.handover.joining:
 		return "joining"
 	case n.handover.yielded:
@@ -152,6 +155,15 @@
 	return "ready"
 }
 
+// tookOverDuringDrain reports whether this process took over from one that still lives while the node was being drained, and
+// the drain's time is not over. Operators stop the old process once the new one says that it is ready; a drain that comes while
+// the new one joins must not hold that up. PING is answered NO all the time.
+func (n *Node) tookOverDuringDrain() bool {
+	state := &n.handover
+	return n.state() == stateDrained && state.peer != nil && !state.isPredecessor && !state.joining && n.hasList() &&
+		state.tookOverAt >= n.drainAt && n.now < n.drainAt+drainDuration
+}
+
 // Ready reports whether this process can serve clients: it is not stopping, it accepts connections, and it has either a
 // list from discovery or a remembered list with a host that takes flows. PING is answered by the same rule, except that
 // a process that has handed over answers for its successor; see answersFront.
