Request ids count in both processes of a roll, before and after the take-over

What callers saw: a client that wrote its line slowly, to the old process, and another with the same id at the new one were both told UP; without a roll the second gets ERR. The other way round, and after the new process was killed, the same.

Ids went over in the State and once more with Yield; what either process read later was told to nobody, and the new process told nothing at all.

Change: either process sends the ids that clients gave to it at the end of the loop iteration (handover.Message.IDs). Yield carries only those that could not be sent before.

--- a/cmd/coursewinch/handover.go
+++ b/cmd/coursewinch/handover.go
@@ -185,6 +185,8 @@
 		h.node.ReceiveCommand(*m.Command)
 	case m.Confirmed != 0:
 		h.node.CommandConfirmed(m.Confirmed)
+	case m.IDs != nil:
+		h.node.AddRequestIDs(m.IDs)
 	case m.Drains != nil:
 		h.node.ApplyPeerDrains(m.Drains)
 	}
--- a/cmd/coursewinch/roll_commands_test.go
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -231,3 +233,41 @@
 		t.Error(status, body)
 	}
 }
+
+// waitForIDs waits until a process knows so many request ids.
+func (p *program) waitForIDs(t *testing.T, count int) {
+	t.Helper()
+	want := fmt.Sprintf(" ids=%d/", count)
+	for asked := 1; ; asked++ {
+		p.cmd.Process.Signal(syscall.SIGUSR1)
+		text := p.waitForCount(t, "msg=holdings", asked)
+		if last := text[strings.LastIndex(text, "msg=holdings"):]; strings.Contains(last, want) {
+			return
+		}
+		if asked > 1000 {
+			t.Fatalf("no%s in %s", want, text)
+		}
+	}
+}
+
+// An id counts for the node, whichever of its two processes read it: here a slow client's at the old process after the
+// take-over, and one at the new process, before another client gives the same id to the other process.
+func TestRequestIDsDuringRoll(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	request := func(c *testClient, id, text string) *testClient {
+		io.WriteString(c, strings.ReplaceAll(text, "ID", id))
+		return c
+	}
+	first, second := request(old.dial(t), "a1", "OPEN ID 7f3a c=ch"), request(old.dial(t), "a2", "OPEN ID 7f3a c=ch")
+	old.wantPing(t, "PONG\r\n") // connections are accepted in their order
+	new := startNodeWithAdmin(t, d, l, 400, folder)
+	old.waitFor(t, "msg=yielded")
+	request(first, "", "at,d=2000\r\n").wantLine(t, "UP 1\r\n")
+	new.waitForIDs(t, 1)
+	request(new.dial(t), "a1", "OPEN ID 7f3a c=chat,d=2000\r\n").wantLine(t, "ERR\r\n")
+	request(new.dial(t), "a2", "OPEN ID 7f3a c=chat,d=2000\r\n").wantLine(t, "UP 1\r\n")
+	old.waitForIDs(t, 2)
+	request(second, "", "at,d=2000\r\n").wantLine(t, "ERR\r\n")
+}
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -49,6 +49,7 @@
 
 	Command   *Command `json:",omitempty"` // from either: the newest operators' command that it knows
 	Confirmed uint64   `json:",omitempty"` // from either: it knows the operators' commands up to this number
+	IDs       []uint64 `json:",omitempty"` // from either: hashes of request ids that clients used
 }
 
 // Command is an operators' command: a drain or a resume. Both processes of a node obey the one with the highest number,
@@ -85,7 +86,7 @@
 // Yield is what the predecessor no longer needs once the successor accepts connections.
 type Yield struct {
 	Room int      // descriptors
-	IDs  []uint64 // hashes of ids that clients used after the State was sent
+	IDs  []uint64 // hashes of request ids that were not sent before
 }
 
 // Client is a connection of a client that has not asked for a flow yet.
@@ -149,7 +150,7 @@
 func (m *Message) check() (wantSockets int, ok bool) {
 	kinds := 0
 	for _, present := range []bool{m.Hello != nil, m.Refused != "", m.State != nil, m.Take, m.Yield != nil, m.Leave,
-		m.Drains != nil, m.Client != nil, m.Flow != nil, m.Command != nil, m.Confirmed != 0} {
+		m.Drains != nil, m.Client != nil, m.Flow != nil, m.Command != nil, m.Confirmed != 0, m.IDs != nil} {
 		if present {
 			kinds++
 		}
@@ -162,7 +163,9 @@
 		}
 		ok = ok && m.State.No > 0 && m.State.No <= m.State.Of && m.State.Of <= maxStateBytes/maxPartBytes+1
 	case m.Yield != nil:
-		ok = ok && m.Yield.Room >= 0
+		ok = ok && m.Yield.Room >= 0 && len(m.Yield.IDs) <= MaxIDsPerMessage
+	case m.IDs != nil:
+		ok = ok && len(m.IDs) <= MaxIDsPerMessage
 	case m.Command != nil:
 		ok = ok && m.Command.Number > 0 && m.Command.Age >= 0
 	case m.Client != nil:
--- a/node/commands_test.go
+++ b/node/commands_test.go
@@ -64,6 +64,8 @@
 		n.ReceiveCommand(*m.Command)
 	case m.Confirmed != 0:
 		n.CommandConfirmed(m.Confirmed)
+	case m.IDs != nil:
+		n.AddRequestIDs(m.IDs)
 	case m.Drains != nil:
 		n.ApplyPeerDrains(m.Drains)
 	case m.Leave:
@@ -317,3 +319,38 @@
 	p.exchange()
 	wantReady(p.new, 503, "drained\n")
 }
+
+// A request id counts at both processes: one that a slow client gives to the old process after the new one has taken over, and
+// one that the new process has seen, also when only the old one is left. Before the fix only those up to the take-over were
+// known, and only to the new process.
+func TestRequestIDsCountInBothProcesses(t *testing.T) {
+	p, _ := startRoll(t, 0)
+	slow := []uint64{p.old.openClient("OPEN 700 2 c="), p.old.openClient("OPEN 701 2 c=")}
+	p.old.run(1, p.old.node.StateSent)
+	p.takeOver()
+	rest := strings.TrimPrefix(openLine, "OPEN 1 2 c=")
+	p.old.receive(slow[0], rest)
+	p.exchange()
+	bad := p.new.node.Count.BadLines
+	p.new.openClient("OPEN 700 2 c=" + rest)
+	if p.new.node.Count.BadLines != bad+1 {
+		t.Error("an id that the old process has seen was accepted by the new one")
+	}
+	p.new.openClient("OPEN 701 2 c=" + rest)
+	p.exchange()
+	bad = p.old.node.Count.BadLines
+	p.old.receive(slow[1], rest)
+	if p.old.node.Count.BadLines != bad+1 {
+		t.Error("an id that the new process has seen was accepted by the old one")
+	}
+	p.new.openClient("OPEN 702 2 c=" + rest)
+	p.exchange()
+	p.old.run(1, func() { p.old.node.PeerProcessGone() })
+	p.old.openClient("OPEN 702 2 c=" + rest)
+	if p.old.node.Count.BadLines != bad+2 {
+		t.Error("an id that the killed process has seen was accepted by the one that is left")
+	}
+	if len(p.toNew.messages)+len(p.toOld.messages) != 0 {
+		t.Error("ids are sent back to where they came from")
+	}
+}
--- a/node/flows.go
+++ b/node/flows.go
@@ -84,7 +84,7 @@
 	}
 	n.Count.Requests++
 	switch {
-	case !n.recentIDs.add(hash(request.ID)): // a host would take this flow for the earlier one with that id
+	case !n.useRequestID(hash(request.ID)): // a host would take this flow for the earlier one with that id
 		n.Answers[typeIndex].Failure++
 		n.rejectLine(c, errDuplicateID)
 		return
--- a/node/handover.go
+++ b/node/handover.go
@@ -20,7 +20,6 @@
 	joinTimeout      = 1500 * ms // after this time a successor goes on with the list handed over
 	handOverInterval = 10 * ms   // between two steps of handing connections over
 	maxHandedPerStep = 64        // connections per step
-	maxLateIDs       = 2000      // request ids sent when yielding
 )
 
 // PeerProcess is the peer process of this node during a handover. Its methods must not block.
@@ -42,7 +41,6 @@
 	isSuccessor   bool // this process started as a successor, so its first list is the one its predecessor used
 	stateSent     bool // predecessor that has sent its state
 	yielded       bool // predecessor whose successor has taken over
-	idsAtState    int  // request ids added before the state was sent
 	inherited     *handover.State
 	updates       peerUpdates
 	timer         deadline
@@ -71,7 +69,6 @@
 	}
 	n.handover.peer = peer
 	n.handover.isPredecessor = true
-	n.handover.idsAtState = n.recentIDs.added
 	n.handover.stateSent = false
 	n.handover.updates.clear(n)
 	n.commands.confirmed = 0
@@ -115,8 +112,8 @@
 		State: map[balance.State]string{balance.Up: "ready", balance.Draining: "draining", balance.Removed: "gone"}[h.State]}
 }
 
-// Yield is called at the predecessor when the successor accepts connections. It returns the request ids added since the
-// state was sent.
+// Yield is called at the predecessor when the successor accepts connections. It returns request ids that the successor has not
+// been sent.
 func (n *Node) Yield() []uint64 {
 	state := &n.handover
 	state.yielded = true
@@ -125,7 +122,7 @@
 	if n.stopAt > 0 {
 		n.deadlines.set(&state.timer, n.now)
 	}
-	return n.recentIDs.newest(min(n.recentIDs.added-state.idsAtState, maxLateIDs))
+	return state.updates.takeIDs()
 }
 
 // PeerProcessGone is called when the peer process or the link to it has ended. It reports whether this process has to
@@ -193,7 +190,7 @@
 	state.peer.TakeOver()
 }
 
-// AddRequestIDs adds request ids that clients gave to the predecessor.
+// AddRequestIDs adds request ids that clients gave to the peer process.
 func (n *Node) AddRequestIDs(ids []uint64) {
 	for _, id := range ids[max(len(ids)-n.limits.IDs, 0):] {
 		n.recentIDs.add(id)
--- a/node/updates.go
+++ b/node/updates.go
@@ -21,6 +21,7 @@
 type peerUpdates struct {
 	command   bool            // the newest operators' command
 	confirmed uint64          // number of the newest command of the peer process; 0 if it need not be confirmed
+	ids       []uint64        // hashes of request ids that clients gave to this process, oldest first
 	leave     bool            // this process stops before its successor has taken over
 	drains    map[string]bool // UIDs of hosts that take no new flows
 	retry     deadline
@@ -34,6 +35,26 @@
 	u.drains[uid] = true
 }
 
+// useRequestID notes that a client uses a request id, here and at the peer process. It reports false if another client has
+// used it before.
+func (n *Node) useRequestID(id uint64) bool {
+	if !n.recentIDs.add(id) {
+		return false
+	}
+	if updates := &n.handover.updates; n.handover.peer != nil {
+		updates.ids = append(updates.ids, id)
+		updates.ids = updates.ids[max(len(updates.ids)-n.limits.IDs, 0):]
+	}
+	return true
+}
+
+// takeIDs returns request ids that the peer process has not been sent, as many as fit into a message, and removes them.
+func (u *peerUpdates) takeIDs() []uint64 {
+	ids := u.ids[:min(len(u.ids), handover.MaxIDsPerMessage)]
+	u.ids = u.ids[len(ids):]
+	return ids
+}
+
 // clear forgets all updates, because there is no peer process or it gets the whole State.
 func (u *peerUpdates) clear(n *Node) {
 	n.deadlines.cancel(&u.retry)
@@ -68,6 +89,9 @@
 		return &handover.Message{Command: &command}, func() { updates.command = false }
 	case updates.confirmed > 0:
 		return &handover.Message{Confirmed: updates.confirmed}, func() { updates.confirmed = 0 }
+	case len(updates.ids) > 0:
+		ids := updates.ids[:min(len(updates.ids), handover.MaxIDsPerMessage)]
+		return &handover.Message{IDs: ids}, func() { updates.ids = updates.ids[len(ids):] }
 	case len(updates.drains) > 0:
 		uids := slices.Sorted(maps.Keys(updates.drains))
 		uids = uids[:min(len(uids), maxDrainsPerMessage)]
