SIGHUP during a roll reaches both processes

What callers saw: a configuration put in place during a roll and told to one process (SIGHUP) counted only there. With the old process told, the node was back at the discovery before it as soon as that process ended; with the new one told, the old one went on watching the discovery before it, and served by it again if the new one died. So did a change told to the old process just before it made its State, since a new version reads its file before it calls.

Change: a process that got SIGHUP tells the other one, which reads its own file if that has changed (handover.Message.Reload). A new version reads its file again once it has the State, if it has changed.

--- a/cmd/coursewinch/config.go
+++ b/cmd/coursewinch/config.go
@@ -68,6 +68,7 @@
 	Known    json.RawMessage
 	Settings json.RawMessage
 
+	text             []byte // the file as it was read
 	peerAddresses    []netip.AddrPort
 	clusterAddresses []netip.AddrPort  // of the fleet's other nodes
 	fleetLimits      []node.FleetLimit // limits that the whole fleet keeps
@@ -116,6 +117,7 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
+	c.text = text
 	return &c, nil
 }
 
--- a/cmd/coursewinch/handover.go
+++ b/cmd/coursewinch/handover.go
@@ -30,9 +30,10 @@
 	socketPath, name, listen string
 	node                     *node.Node
 	loop                     *epoll.Loop
-	maxSockets               int   // when this is the node's only process
-	reservedDescriptors      int   // descriptors besides the loop's sockets
-	memoryLimit              int64 // bytes for the whole node; 0 for no limit
+	maxSockets               int    // when this is the node's only process
+	reservedDescriptors      int    // descriptors besides the loop's sockets
+	memoryLimit              int64  // bytes for the whole node; 0 for no limit
+	reload                   func() // reads the configuration file again
 	posted                   chan func()
 	listener                 *handover.Listener
 }
@@ -185,6 +186,8 @@
 		h.node.ReceiveCommand(*m.Command)
 	case m.Confirmed != 0:
 		h.node.CommandConfirmed(m.Confirmed)
+	case m.Reload:
+		h.reload()
 	case m.IDs != nil:
 		h.node.AddRequestIDs(m.IDs)
 	case m.Drains != nil:
--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/rand"
 	"encoding/binary"
@@ -111,6 +112,7 @@
 	p.clockBase = p.started.UnixMicro()
 	p.handover.node, p.handover.loop = p.handler.Node, p.loop
 	p.handover.maxSockets, p.handover.reservedDescriptors = p.loop.MaxSockets(), p.reserved
+	p.handover.reload = p.reloadChangedConfig
 	if err := p.listen(); err != nil {
 		return err
 	}
@@ -166,7 +168,20 @@
 		log.Printf("msg=holdings %s", p.handler.HoldingsText())
 	}
 	if p.reload.Swap(false) {
-		p.config = reloadConfig(p.configPath, p.config, p.handler.Node)
+		p.reloadConfig()
+		p.handler.ShareReload()
+	}
+}
+
+// reloadConfig applies the parts of the configuration file that may change while the process runs.
+func (p *process) reloadConfig() {
+	p.config = reloadConfig(p.configPath, p.config, p.handler.Node)
+}
+
+// reloadChangedConfig does the same, unless the file is as this process read it last.
+func (p *process) reloadChangedConfig() {
+	if text, err := os.ReadFile(p.configPath); err != nil || !bytes.Equal(text, p.config.text) {
+		p.reloadConfig()
 	}
 }
 
--- /dev/null
+++ b/cmd/coursewinch/roll_reload_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"coursewinch/handover"
+)
+
+// rewriteConfig writes another configuration file without telling the process.
+func (p *program) rewriteConfig(t *testing.T, config string) {
+	t.Helper()
+	if err := os.WriteFile(p.configPath, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// configWithAdmin returns a configuration file with an admin address.
+func configWithAdmin(d *fakeDiscovery, known string) string {
+	return strings.Replace(configText(d, known, 400), "{", `{"admin":"127.0.0.1:0",`, 1)
+}
+
+// startFromFileOf starts a second process with the file of the first one, as a roll does.
+func (p *program) startFromFileOf(t *testing.T, folder string) *program {
+	t.Helper()
+	return startProgram(t, p.prepareSecond(t, folder))
+}
+
+// prepareSecond prepares a second process with the file of the first one.
+func (p *program) prepareSecond(t *testing.T, folder string) *program {
+	t.Helper()
+	second := prepareProgram(t, "")
+	second.configPath = p.configPath
+	second.cmd.Env = append(second.cmd.Env, "GW_CONFIG="+p.configPath, "TMPDIR="+folder)
+	return second
+}
+
+// A SIGHUP reaches one of the two processes of a node, and both read the file again: the one that is left watches the discovery
+// that the operators named, whichever process they told, before and after the take-over.
+func TestReloadDuringRollReachesBothProcesses(t *testing.T) {
+	for _, phase := range []string{"joining", "taken over"} {
+		for _, called := range []string{"old", "new"} {
+			t.Run(phase+"/"+called+" is told", func(t *testing.T) {
+				t.Parallel()
+				l, first := startHostsAndDiscovery(t)
+				named := newDiscovery(t, l)
+				folder := socketFolder(t)
+				old := startNodeWithAdmin(t, first, l, 400, folder).waitReady(t)
+				if phase == "joining" {
+					old.rewriteConfig(t, configWithAdmin(silentDiscovery(t), l))
+				}
+				new := old.startFromFileOf(t, folder)
+				if phase == "taken over" {
+					old.waitFor(t, "msg=yielded")
+				}
+				old.rewriteConfig(t, configWithAdmin(named, l))
+				told, left := old, new
+				if called == "new" {
+					told, left = new, old
+				}
+				told.cmd.Process.Signal(syscall.SIGHUP)
+				left.waitFor(t, "msg=config_read discovery="+named.addr)
+				told.kill(t)
+				left.waitFor(t, "msg=watching discovery="+named.addr)
+				left.waitFor(t, "msg=other_process_gone")
+				left.openFlow(t, "").wantLine(t, "UP 1\r\n")
+			})
+		}
+	}
+}
+
+// A new version reads its file before it calls the running process. A file that changes in between, whose change only that
+// process was told of, counts all the same. Here the test is the running process.
+func TestFileChangedWhileNewVersionStarts(t *testing.T) {
+	l, first := startHostsAndDiscovery(t)
+	named := newDiscovery(t, l)
+	folder := socketFolder(t)
+	running := prepareProgram(t, configWithAdmin(first, l))
+	clients, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer clients.Close()
+	socket, err := clients.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	successors, err := handover.Listen(handover.SocketPath(folder, "n0", "127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successors.Close()
+	go func() {
+		link, err := successors.Accept()
+		if err != nil {
+			return
+		}
+		if _, _, err := link.Receive(); err != nil {
+			t.Error(err)
+		}
+		if err := os.WriteFile(running.configPath, []byte(configWithAdmin(named, l)), 0o600); err != nil {
+			t.Error(err)
+		}
+		parts, _ := (&handover.State{Room: 200, From: first.addr}).Split()
+		if err := link.SendBlocking(parts[0], int(socket.Fd())); err != nil || len(parts) != 1 {
+			t.Error(len(parts), err)
+		}
+		link.Receive() // until the new version ends
+	}()
+	running.startFromFileOf(t, folder).waitFor(t, "msg=watching discovery="+named.addr)
+}
--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -74,6 +74,7 @@
 	h.loop.SetMaxSockets(state.Room)
 	h.setMemoryShare(2)
 	h.node.InheritState(predecessor, state)
+	h.post(h.reload) // the file may have changed, and its change been told to the predecessor, since this process read it
 	go func() {
 		defer link.Close()
 		for {
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -50,6 +50,7 @@
 	Command   *Command `json:",omitempty"` // from either: the newest operators' command that it knows
 	Confirmed uint64   `json:",omitempty"` // from either: it knows the operators' commands up to this number
 	IDs       []uint64 `json:",omitempty"` // from either: hashes of request ids that clients used
+	Reload    bool     `json:",omitempty"` // from either: it was told to read its configuration file again
 }
 
 // Command is an operators' command: a drain or a resume. Both processes of a node obey the one with the highest number,
@@ -150,7 +151,7 @@
 func (m *Message) check() (wantSockets int, ok bool) {
 	kinds := 0
 	for _, present := range []bool{m.Hello != nil, m.Refused != "", m.State != nil, m.Take, m.Yield != nil, m.Leave,
-		m.Drains != nil, m.Client != nil, m.Flow != nil, m.Command != nil, m.Confirmed != 0, m.IDs != nil} {
+		m.Drains != nil, m.Client != nil, m.Flow != nil, m.Command != nil, m.Confirmed != 0, m.IDs != nil, m.Reload} {
 		if present {
 			kinds++
 		}
--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -21,7 +21,7 @@
 func TestDecodeIsStrict(t *testing.T) {
 	host := `"Host":{"UID":"s"}`
 	for text, sockets := range map[string]int{`{"V":3,"Take":true}`: 0, `{"V":3,"Drains":["s"]}`: 0,
-		`{"V":3,"Command":{"Number":1}}`: 0, `{"V":3,"Confirmed":1}`: 0, `{"V":3,"IDs":[1]}`: 0,
+		`{"V":3,"Command":{"Number":1}}`: 0, `{"V":3,"Confirmed":1}`: 0, `{"V":3,"IDs":[1]}`: 0, `{"V":3,"Reload":true}`: 0,
 		`{"V":3,"State":{"No":1,"Of":2}}`: 0, `{"V":3,"State":{"No":2,"Of":2}}`: 1, `{"V":3,"Client":{}}`: 1,
 		`{"V":3,"Flow":{"Type":"chat",` + host + `}}`: 2} {
 		_, err := Decode([]byte(text), sockets)
--- a/node/updates.go
+++ b/node/updates.go
@@ -22,6 +22,7 @@
 	command   bool            // the newest operators' command
 	confirmed uint64          // number of the newest command of the peer process; 0 if it need not be confirmed
 	ids       []uint64        // hashes of request ids that clients gave to this process, oldest first
+	reload    bool            // this process was told to read its configuration file again
 	leave     bool            // this process stops before its successor has taken over
 	drains    map[string]bool // UIDs of hosts that take no new flows
 	retry     deadline
@@ -35,6 +36,10 @@
 	u.drains[uid] = true
 }
 
+// ShareReload makes the peer process read its configuration file again, as this process was told to: a signal reaches only one
+// of the two.
+func (n *Node) ShareReload() { n.handover.updates.reload = n.handover.peer != nil }
+
 // useRequestID notes that a client uses a request id, here and at the peer process. It reports false if another client has
 // used it before.
 func (n *Node) useRequestID(id uint64) bool {
@@ -89,6 +94,8 @@
 		return &handover.Message{Command: &command}, func() { updates.command = false }
 	case updates.confirmed > 0:
 		return &handover.Message{Confirmed: updates.confirmed}, func() { updates.confirmed = 0 }
+	case updates.reload:
+		return &handover.Message{Reload: true}, func() { updates.reload = false }
 	case len(updates.ids) > 0:
 		ids := updates.ids[:min(len(updates.ids), handover.MaxIDsPerMessage)]
 		return &handover.Message{IDs: ids}, func() { updates.ids = updates.ids[len(ids):] }
