A new version that is told to stop while it joins does not take over

What callers saw: the new process got SIGTERM while it joined, its list came, and it took over all the same. From then on the node said no to PING, and the clients that came were moved when it ended a second later, though the old process was well and held the listener too.

Cause: finishJoining looked only at whether the process joins; what it had been told meanwhile, here by a signal, did not count.

Change: a successor that stops does not take over. If the old process ends as well, it accepts until its own end, as before.

Tests: TestStoppingSuccessorDoesNotTakeOver ("took over" without the change), TestNewProcessStoppedWhileJoining with real processes.

--- a/cmd/coursewinch/roll_commands_test.go
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -271,3 +271,27 @@
 	old.waitForIDs(t, 2)
 	request(second, "", "at,d=2000\r\n").wantLine(t, "ERR\r\n")
 }
+
+// A new process that is stopped while it joins does not take over: the old one goes on serving and says yes throughout.
+func TestNewProcessStoppedWhileJoining(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	held := old.openFlow(t, "")
+	held.wantLine(t, "UP 1\r\n")
+	late := newHeldDiscovery(t, l)
+	new := startNodeWithAdmin(t, late.fakeDiscovery, l, 400, folder)
+	new.cmd.Process.Signal(syscall.SIGTERM)
+	new.waitFor(t, "msg=stopping")
+	late.answer()
+	new.waitFor(t, "msg=watching")
+	for range 20 {
+		old.wantPing(t, "PONG\r\n")
+	}
+	if err := new.waitExit(t); err != nil {
+		t.Fatal(err)
+	}
+	old.openFlow(t, "").wantLine(t, "UP 1\r\n")
+	io.WriteString(held, "M 1\r\n")
+	held.wantLine(t, "M 1\r\n")
+}
--- a/node/handover.go
+++ b/node/handover.go
@@ -177,10 +177,11 @@
 // PredecessorStopping is called at a successor when its predecessor is stopping and waits for it to take over.
 func (n *Node) PredecessorStopping() { n.finishJoining() }
 
-// finishJoining makes a successor take over: from now on it accepts connections.
+// finishJoining makes a successor take over: from now on it accepts connections. A successor that was told to stop does not take
+// over from a process that can go on.
 func (n *Node) finishJoining() {
 	state := &n.handover
-	if !state.joining {
+	if !state.joining || n.stopAt > 0 {
 		return
 	}
 	state.joining = false
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -332,3 +332,29 @@
 		t.Fatal(peer.messages)
 	}
 }
+
+// A new process that is told to stop while it joins leaves the clients to the old one. Before the fix it took over all the same
+// when its list came: for the rest of its stop the node said no to PING, and then its clients were moved.
+func TestStoppingSuccessorDoesNotTakeOver(t *testing.T) {
+	predecessor, peer := newPredecessor(t, 1)
+	state, _ := predecessor.node.BeginHandover(peer)
+	successor := peer.startSuccessor(state)
+	n := successor.node
+	successor.run(1, n.Stop)
+	successor.run(1, func() { n.receiveList(&conn{}, entries("ready", 1)) })
+	successor.run(1, n.PredecessorStopping)
+	successor.run(joinTimeout, func() {})
+	if n.handover.peer.(*fakePeer).accepting {
+		t.Fatal("took over")
+	}
+	if !n.Done() {
+		t.Fatal("still running")
+	}
+	lone := peer.startSuccessor(state)
+	lone.run(1, lone.node.Stop)
+	lone.run(1, func() {
+		if !lone.node.PeerProcessGone() {
+			t.Error("nobody accepts the connections that wait, though the old process has ended")
+		}
+	})
+}
