Leases: a new version withholds its votes from when it binds the address, not from its start

What could be seen: with limits of the fleet on, two owners of a slot, and so a strict limit over its number, after a roll: not observed in a fleet, shown by the test.

Cause: a process withholds votes for 2.2 s after its start, so that those of the process before it have expired. In a roll that one goes on voting until it yields, up to 1.5 s after the new one's start and longer if it hangs.

Change: the process that binds the cluster address after another one of its node gives up all slots and withholds votes as at a start, counted from the binding, since only one process can be bound (Leases.Restart).

--- a/cluster/lease/lease.go
+++ b/cluster/lease/lease.go
@@ -119,6 +119,14 @@
 	l.noVotesBefore = now + VoteTerm*11/10
 }
 
+// Restart gives up all ownership and withholds votes as at the start of a process. It is called when another process of this
+// node may have voted until now.
+func (l *Leases) Restart(now int64) {
+	l.reset()
+	l.Start(now)
+	l.nextRequestAt = now
+}
+
 // Tick advances the clock. It has to be called in each loop iteration, every 50 ms at least.
 func (l *Leases) Tick(now int64) {
 	gap := now - l.now
--- a/cluster/lease/lease_test.go
+++ b/cluster/lease/lease_test.go
@@ -73,3 +73,38 @@
 		t.Errorf("slot owned: %t, with %d votes; want 33", ok, l.VoterCount(7))
 	}
 }
+
+// TestOneOwnerWhileVoterIsRolled guards against two owners of a slot when a voter is replaced by a new process of its node: the
+// old process votes until the new one takes its address over, long after the new one started.
+func TestOneOwnerWhileVoterIsRolled(t *testing.T) {
+	all := newFleet(3)
+	const rolled, first, second, slot = 0, 1, 2, 7
+	successor := New(9, rolled, 3)
+	successor.Start(2 * VoteTerm)
+	advance := func(until int64) {
+		for _, l := range append([]*Leases{successor}, all...) {
+			for l.now < until {
+				l.Tick(min(l.now+maxTickGap, until))
+			}
+		}
+	}
+	start := int64(2 * VoteTerm)
+	advance(start + VoteTerm*12/10)
+	requestVotes(all[:second], first, slot, second, 1) // with the vote of the old process
+	if _, ok := all[first].Owned(slot); !ok {
+		t.Fatal("no owner with two of three votes")
+	}
+	successor.Restart(successor.now) // it has bound the address
+	all[rolled] = successor
+	for now := successor.now; now < start+3*VoteTerm; now += retryInterval {
+		advance(now)
+		requestVotes([]*Leases{successor, nil, all[second]}, second, slot, first, 1)
+		_, one := all[first].Owned(slot)
+		if _, two := all[second].Owned(slot); one && two {
+			t.Fatal("two owners", now-start, "us after the new process started")
+		}
+	}
+	if _, ok := all[second].Owned(slot); !ok {
+		t.Fatal("the new process never votes")
+	}
+}
--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -277,6 +277,7 @@
 	}
 	if p.rebindAt != 0 && err == nil {
 		log.Printf("msg=cluster listen=%s", address)
+		p.handler.ClusterAddressTakenOver(p.now())
 	}
 	p.clusterState, p.rebindAt = address.String(), 0
 	return err
--- a/node/limits.go
+++ b/node/limits.go
@@ -548,6 +548,14 @@
 	}
 }
 
+// ClusterAddressTakenOver is called when this process has bound the cluster address that another process of this node was bound
+// to before. That one may have voted for leases in the node's name until now.
+func (n *Node) ClusterAddressTakenOver(now int64) {
+	if n.cluster != nil && n.cluster.leases != nil {
+		n.cluster.leases.Restart(now)
+	}
+}
+
 // receiveLimitMessage handles a message of another node about leases or limits. It reports false for any other message.
 func (n *Node) receiveLimitMessage(from int, message members.Message) bool {
 	cluster := n.cluster
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"coursewinch/cluster/lease"
 	"coursewinch/cluster/limits"
 	"coursewinch/cluster/permits"
 )
@@ -193,3 +194,27 @@
 		t.Errorf("answered %q", net.sent[id])
 	}
 }
+
+// The process that binds the cluster address after another one of its node votes for no lease until the votes of that one have
+// expired. Before the fix a new process counted from its own start, though the old one voted until it yielded: two owners of a
+// slot could have been elected with votes of the same node.
+func TestVotesOfOtherProcessExpireFirst(t *testing.T) {
+	n, net := newLimitedNode(1, concurrentLimit(OverType, "chat", 2))
+	if _, ok := n.cluster.leases.Owned(0); !ok {
+		t.Fatal("the only node of a fleet owns all slots")
+	}
+	net.run(1, func() { n.ClusterAddressTakenOver(n.now) })
+	boundAt := n.now
+	for n.now < boundAt+lease.VoteTerm {
+		if _, ok := n.cluster.leases.Owned(0); ok {
+			t.Fatal("voted", (n.now-boundAt)/ms, "ms after the other process may have voted")
+		}
+		net.run(50*ms, func() {})
+	}
+	for range 20 {
+		net.run(50*ms, func() {})
+	}
+	if _, ok := n.cluster.leases.Owned(0); !ok {
+		t.Fatal("votes are withheld for good")
+	}
+}
