Limits: an old process that serves again after its successor died admits flows again

What callers saw: with a limit of the fleet on numbers at once, a new version took over and was killed. The old process accepted connections again and said ready, and answered BUSY to every flow from then on.

Cause: when the new process takes over, the old one stops granting permits and closes the fleet's datagram socket (StopGranting, CloseDatagrams); when the new one had gone, nothing took either back. What one process was told counted past the other's life.

Tests: TestLimitsAfterSuccessorDied; TestLimitsServeAfterNewProcessDied with real processes, which on the build before never binds the address again.

--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -283,6 +283,22 @@
 	return err
 }
 
+// shareClusterAddress leaves the cluster address to the successor process where only one process may be bound to it, and binds
+// it again if the successor ends first.
+func (p *process) shareClusterAddress(now int64) {
+	if len(p.config.fleetLimits) == 0 || len(p.config.clusterAddresses) == 0 {
+		return
+	}
+	if p.handler.Yielded() {
+		p.loop.CloseDatagrams()
+		p.clusterState, p.rebindAt = "waiting", 0
+		return
+	}
+	if p.clusterState == "waiting" && p.rebindAt == 0 {
+		p.rebindAt = now
+	}
+}
+
 // serve runs the event loop until the node has stopped.
 func (p *process) serve() error {
 	var lag epoll.Lag
@@ -303,9 +319,7 @@
 				return err
 			}
 		}
-		if len(p.config.fleetLimits) > 0 && p.handler.Yielded() {
-			p.loop.CloseDatagrams()
-		}
+		p.shareClusterAddress(now)
 		p.handler.ReportLateness(lag.WaitEnded(start, now, timeout, p.loop.EventsFull()))
 		p.handler.RunIteration(now, p.loop.Dispatch)
 	}
--- a/cmd/coursewinch/roll_test.go
+++ b/cmd/coursewinch/roll_test.go
@@ -255,3 +255,40 @@
 	}
 	old.stop(t)
 }
+
+// The old process binds the fleet's address again and admits flows under a limit if the new one dies after it took over. Before
+// the fix it answered BUSY to every flow, and said that it was ready.
+func TestLimitsServeAfterNewProcessDied(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	free, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.LocalAddr().String()
+	free.Close()
+	fleet := fmt.Sprintf(`{"admin":"127.0.0.1:0","cluster":{"on":true,"listen":%q,"nodes":["127.0.0.1:9"],`+
+		`"limits":[{"over":"type","at_once":20,"promise":"available"}]},`, at)
+	config := strings.Replace(configText(d, l, 400), "{", fleet, 1)
+	folder := t.TempDir()
+	start := func() *program {
+		p := prepareProgram(t, config)
+		p.cmd.Env = append(p.cmd.Env, "TMPDIR="+folder)
+		return startProgram(t, p).waitReady(t)
+	}
+	old := start()
+	old.openFlow(t, "").wantLine(t, "UP 1\r\n")
+	next := start()
+	next.waitFor(t, "msg=cluster listen="+at)
+	next.kill(t)
+	old.waitFor(t, "msg=cluster listen="+at)
+	for from := time.Now(); ; { // a flow may be refused while the other node is asked in vain
+		line, err := old.openFlow(t, "").reader.ReadString('\n')
+		if line == "UP 1\r\n" {
+			break
+		}
+		if time.Since(from) > testTimeout {
+			t.Fatalf("no flow is admitted: %q, %v", line, err)
+		}
+	}
+	old.stop(t)
+}
--- a/node/handover.go
+++ b/node/handover.go
@@ -131,6 +131,9 @@
 	state := &n.handover
 	accept = state.yielded || state.joining
 	log.Printf("msg=other_process_gone yielded=%t joining=%t", state.yielded, state.joining)
+	if state.yielded {
+		n.resumeLimits()
+	}
 	n.deadlines.cancel(&state.timer)
 	state.peer = nil
 	state.joining = false
--- a/node/limits.go
+++ b/node/limits.go
@@ -556,6 +556,18 @@
 	}
 }
 
+// resumeLimits makes this process admit flows under the fleet's limits again, because its successor has ended.
+func (n *Node) resumeLimits() {
+	if n.cluster == nil {
+		return
+	}
+	for _, limit := range n.cluster.limits {
+		if limit.concurrent != nil {
+			limit.concurrent.ResumeGranting()
+		}
+	}
+}
+
 // receiveLimitMessage handles a message of another node about leases or limits. It reports false for any other message.
 func (n *Node) receiveLimitMessage(from int, message members.Message) bool {
 	cluster := n.cluster
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -195,6 +195,35 @@
 	}
 }
 
+// A process whose successor dies after it took over keeps the fleet's limits again: it admits flows up to the limit, and no more.
+// Before the fix it refused every flow for good.
+func TestLimitsAfterSuccessorDied(t *testing.T) {
+	n, net := newLimitedNode(1, concurrentLimit(OverType, "chat", 2))
+	if got := net.openAndAnswer(openLine); !strings.HasPrefix(net.sent[got], "UP") {
+		t.Fatalf("%q", net.sent[got])
+	}
+	peer := &fakePeer{t: t, from: net, moved: map[uint64]uint64{}}
+	if _, ok := n.BeginHandover(peer); !ok {
+		t.Fatal("the handover was refused")
+	}
+	net.run(1, n.StateSent)
+	net.run(1, func() { n.Yield() })
+	if got := net.openAndAnswer(openLine); !strings.HasPrefix(net.sent[got], "BUSY") {
+		t.Fatalf("a flow was admitted though the successor grants permits: %q", net.sent[got])
+	}
+	net.run(1, func() { n.PeerProcessGone() })
+	passed := 0
+	for range 10 {
+		net.run(50*ms, func() {})
+		if got := net.openAndAnswer(openLine); strings.HasPrefix(net.sent[got], "UP") {
+			passed++
+		}
+	}
+	if held := n.cluster.limits[0].concurrent.InUse(); held != 2 || passed != 1 {
+		t.Fatal(held, "permits in use,", passed, "flows admitted")
+	}
+}
+
 // The process that binds the cluster address after another one of its node votes for no lease until the votes of that one have
 // expired. Before the fix a new process counted from its own start, though the old one voted until it yielded: two owners of a
 // slot could have been elected with votes of the same node.
