A new version that the old process gave up on ends, and does not serve beside it

What callers saw: a new process hung while it joined. After 3 s the old one gave up on it and went on. When the new one went on too, it took the end of the link for the old one's death and accepted connections: two processes of the node, neither of which hears of the other's commands, lists or ids. A drain at the old one was answered 200, and the other said PONG.

Cause: that the old process gave up was known to it alone; the end of a link means two things. The new process also took over by its own timer before it read what waited on the link, and bound the socket for the next version at once.

Change: the old process says Refused before it closes the link; the new one then ends with exit code 1. A new process takes over only if it could tell the old one (Take), and listens for the next version once the old one has yielded or ended.

--- a/cmd/coursewinch/handover.go
+++ b/cmd/coursewinch/handover.go
@@ -36,6 +36,7 @@
 	reload                   func() // reads the configuration file again
 	posted                   chan func()
 	listener                 *handover.Listener
+	refused                  error // the predecessor has gone on without this process
 }
 
 // runInLoop runs f in the event loop and waits until it returns.
@@ -97,19 +98,25 @@
 }
 
 // peerGone restores the limits of a single process after the peer process or its link has ended. If the peer process
-// was the one that accepted connections, this process accepts them now.
+// was the one that accepted connections, this process accepts them now. It listens for a successor, if it does not yet.
 func (h *handoverManager) peerGone() {
 	h.loop.SetMaxSockets(h.maxSockets)
 	h.setMemoryShare(1)
-	if h.node.PeerProcessGone() {
+	accept := h.node.PeerProcessGone()
+	if h.refused != nil {
+		return
+	}
+	if accept {
 		h.loop.SetAccepting(true)
+	}
+	if accept || h.listener == nil {
 		h.listenForSuccessor()
 	}
 }
 
 // openListener opens the clients' listener. If another process of this node is running and hands its listener over, this
 // process also inherits its state and limits. Otherwise the listener is a new one. With a new one, this process listens for a
-// successor at once; after a handover it does so when it takes over.
+// successor at once; after a handover it does so when the predecessor has yielded or ended.
 func (h *handoverManager) openListener() (netip.AddrPort, error) {
 	folder := os.Getenv("TMPDIR")
 	if folder == "" {
@@ -166,11 +173,13 @@
 	return true
 }
 
-// TakeOver is called in the successor when it starts to accept connections.
-func (p *peerProcess) TakeOver() {
+// TakeOver makes the successor accept connections, unless the predecessor cannot be told.
+func (p *peerProcess) TakeOver() bool {
+	if !p.Send(&handover.Message{Take: true}) {
+		return false
+	}
 	p.manager.loop.SetAccepting(true)
-	p.Send(&handover.Message{Take: true})
-	p.manager.listenForSuccessor()
+	return true
 }
 
 func closeAll(fds []int) {
--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -327,7 +327,7 @@
 		p.loop.RefuseQueued(refusalTimeout)
 	}
 	log.Printf("msg=stopped %s", p.handler.CountersText())
-	return nil
+	return p.handover.refused
 }
 
 func main() {
--- a/cmd/coursewinch/predecessor.go
+++ b/cmd/coursewinch/predecessor.go
@@ -67,6 +67,7 @@
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				log.Printf("msg=handover_failed why=%q", err)
+				successor.Send(&handover.Message{Refused: "the new process did not take over in time"})
 			}
 			return
 		}
--- a/cmd/coursewinch/roll_commands_test.go
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -295,3 +295,27 @@
 	io.WriteString(held, "M 1\r\n")
 	held.wantLine(t, "M 1\r\n")
 }
+
+// A new process that hangs until the old one gives up on it ends when it goes on. Before the fix it accepted connections beside
+// the old process, and neither heard of the other's commands.
+func TestNewProcessGivenUp(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	new := startNodeWithAdmin(t, silentDiscovery(t), l, 400, folder)
+	new.cmd.Process.Signal(syscall.SIGSTOP)
+	old.waitFor(t, "msg=other_process_gone")
+	old.wantCommand(t, "drain")
+	new.cmd.Process.Signal(syscall.SIGCONT)
+	if err := new.waitExit(t); err == nil {
+		t.Error("the new process ended as if it had served")
+	}
+	for range 20 {
+		old.wantPing(t, "NO\r\n")
+	}
+	old.wantCommand(t, "resume")
+	next := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t) // the old process still hands over
+	old.waitFor(t, "msg=yielded")
+	old.stop(t)
+	next.openFlow(t, "").wantLine(t, "UP 1\r\n")
+}
--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -95,6 +96,9 @@
 	case m.Yield != nil:
 		h.loop.SetMaxSockets(h.loop.MaxSockets() + m.Yield.Room)
 		h.node.AddRequestIDs(m.Yield.IDs)
+		h.listenForSuccessor()
+	case m.Refused != "":
+		h.endRefused(m.Refused)
 	case m.Leave:
 		h.node.PredecessorStopping()
 	case m.Client != nil:
@@ -110,6 +114,15 @@
 	}
 }
 
+// endRefused ends this process, because its predecessor does not wait for it any more and goes on serving. It must not go on as
+// a second process of the node that the first one knows nothing of.
+func (h *handoverManager) endRefused(reason string) {
+	log.Printf("msg=handover_failed why=%q", reason)
+	h.refused = fmt.Errorf("handover: %w: %s", errRefused, reason)
+	h.loop.SetAccepting(false)
+	h.node.Stop()
+}
+
 // addAdopted adds the socket of an adopted client connection, and resumes it.
 func (h *handoverManager) addAdopted(adopted node.Adopted, fd int) {
 	h.loop.AddConnected(adopted.ID, fd, adopted.In, adopted.Out)
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -38,7 +38,7 @@
 type Message struct {
 	V       int      // the version of the messages
 	Hello   *Hello   `json:",omitempty"` // from the successor: another version of this node starts
-	Refused string   `json:",omitempty"` // from the predecessor: why there is no handover now
+	Refused string   `json:",omitempty"` // from the predecessor: why there is no handover; after the State, the successor has to end
 	State   *Part    `json:",omitempty"` // from the predecessor: a part of its state; the listening socket comes with the last part
 	Take    bool     `json:",omitempty"` // from the successor: it accepts new connections from now on
 	Yield   *Yield   `json:",omitempty"` // from the predecessor: it accepts no more connections
--- a/node/handover.go
+++ b/node/handover.go
@@ -28,8 +28,9 @@
 	Send(m *handover.Message) bool
 	// HandOver hands connections over with a message about them. It returns false if that is not possible at the moment.
 	HandOver(m *handover.Message, conns ...uint64) bool
-	// TakeOver is called at the successor: from now on it accepts the node's connections.
-	TakeOver()
+	// TakeOver makes the successor accept the node's connections and tells the predecessor. It returns false, and changes
+	// nothing, if the predecessor cannot be told at the moment.
+	TakeOver() bool
 }
 
 // handoverState is the state of a handover between two processes of this node.
@@ -187,11 +188,14 @@
 	if !state.joining || n.stopAt > 0 {
 		return
 	}
+	if !state.peer.TakeOver() { // it has ended or given up on this process, which the link tells next
+		n.deadlines.set(&state.timer, n.now+updateRetryInterval)
+		return
+	}
 	state.joining = false
 	state.tookOverAt = n.now
 	n.deadlines.cancel(&state.timer)
 	log.Printf("msg=took_over hosts=%d rev=%d", len(n.hostList), n.listRev)
-	state.peer.TakeOver()
 }
 
 // AddRequestIDs adds request ids that clients gave to the peer process.
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -31,7 +31,10 @@
 	}
 	return !peer.refuses
 }
-func (peer *fakePeer) TakeOver() { peer.accepting = true }
+func (peer *fakePeer) TakeOver() bool {
+	peer.accepting = !peer.refuses
+	return peer.accepting
+}
 func (peer *fakePeer) HandOver(m *handover.Message, conns ...uint64) bool {
 	if peer.refuses {
 		return false
@@ -358,3 +361,31 @@
 		}
 	})
 }
+
+// A new process takes over only once it could tell the old one; if that one has ended, it accepts connections all the same. Before
+// the fix it accepted them though the old process had given up on it and did the same.
+func TestTakeOverWaitsForTheLink(t *testing.T) {
+	predecessor, peer := newPredecessor(t, 1)
+	state, _ := predecessor.node.BeginHandover(peer)
+	for _, ended := range []bool{false, true} {
+		successor := peer.startSuccessor(state)
+		back := successor.node.handover.peer.(*fakePeer)
+		back.refuses = true
+		successor.run(joinTimeout, func() {})
+		if back.accepting || successor.node.state() != "joining" {
+			t.Fatal("took over though the old process was not told", successor.node.state())
+		}
+		if ended {
+			successor.run(1, func() {
+				if !successor.node.PeerProcessGone() {
+					t.Error("nobody accepts connections, though the old process has ended")
+				}
+			})
+			continue
+		}
+		back.refuses = false
+		if successor.run(updateRetryInterval, func() {}); !back.accepting || successor.node.state() != "ready" {
+			t.Fatal("does not take over", successor.node.state())
+		}
+	}
+}
