Handover: Yield is sent as all that a process has to tell, and again if the link is full

Seen by reading, made to happen in TestUpdatesWaitUntilTheyCanBeSent: a Yield that the link could not take was dropped, and with it the descriptors that the old process gives up and the ids that came since the State.

Change: Yield goes through the updates (node/updates.go), behind the ids, which go in messages of their own.

TestHandoverKeepsFlows looked for the late id in the result of Yield; it now looks for it in the message before Yield, and for the descriptors in that, and calls StateSent, as the program always does.

--- a/cmd/coursewinch/predecessor.go
+++ b/cmd/coursewinch/predecessor.go
@@ -75,17 +75,17 @@
 		switch {
 		case m.Take:
 			link.SetTimeout(0)
-			h.post(func() { h.yieldTo(successor) })
+			h.post(h.yield)
 		default:
 			h.post(func() { h.applyUpdate(m) })
 		}
 	}
 }
 
-// yieldTo stops accepting, and gives the successor the sockets that this process does not need any more.
-func (h *handoverManager) yieldTo(successor *peerProcess) {
+// yield stops accepting, and gives the successor the sockets that this process does not need any more.
+func (h *handoverManager) yield() {
 	h.loop.SetAccepting(false)
 	room := max(h.loop.Room()-minKeptSockets, 0)
 	h.loop.SetMaxSockets(h.loop.MaxSockets() - room)
-	successor.Send(&handover.Message{Yield: &handover.Yield{Room: room, IDs: h.node.Yield()}})
+	h.node.Yield(room)
 }
--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -95,7 +95,6 @@
 	switch {
 	case m.Yield != nil:
 		h.loop.SetMaxSockets(h.loop.MaxSockets() + m.Yield.Room)
-		h.node.AddRequestIDs(m.Yield.IDs)
 		h.listenForSuccessor()
 	case m.Refused != "":
 		h.endRefused(m.Refused)
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -86,8 +86,7 @@
 
 // Yield is what the predecessor no longer needs once the successor accepts connections.
 type Yield struct {
-	Room int      // descriptors
-	IDs  []uint64 // hashes of request ids that were not sent before
+	Room int // descriptors
 }
 
 // Client is a connection of a client that has not asked for a flow yet.
@@ -164,7 +163,7 @@
 		}
 		ok = ok && m.State.No > 0 && m.State.No <= m.State.Of && m.State.Of <= maxStateBytes/maxPartBytes+1
 	case m.Yield != nil:
-		ok = ok && m.Yield.Room >= 0 && len(m.Yield.IDs) <= MaxIDsPerMessage
+		ok = ok && m.Yield.Room >= 0
 	case m.IDs != nil:
 		ok = ok && len(m.IDs) <= MaxIDsPerMessage
 	case m.Command != nil:
--- a/node/commands_test.go
+++ b/node/commands_test.go
@@ -36,7 +36,7 @@
 // takeOver makes the new process accept connections, and the old one yield.
 func (p *twoProcesses) takeOver() {
 	p.new.run(1, p.new.node.finishJoining)
-	p.old.run(1, func() { p.old.node.Yield() })
+	p.old.run(1, func() { p.old.node.Yield(0) })
 }
 
 // deliver delivers the messages that wait for a process.
@@ -274,7 +274,7 @@
 		t.Fatal("the drain began at", got, "at the successor, and at", want, "at the predecessor")
 	}
 	successor.run(1, successor.node.finishJoining)
-	old.run(1, func() { old.node.StateSent(); old.node.Yield() })
+	old.run(1, func() { old.node.StateSent(); old.node.Yield(0) })
 	old.run(1, func() { old.node.handOverFlow(old.node.conns.get(client).flow) })
 	successor.runUntil(successor.node.drainAt + drainDuration + 20*ms)
 	if id := toNew.moved[client]; id == 0 || !strings.HasSuffix(successor.sent[id], "MOVE\r\n") {
--- a/node/handover.go
+++ b/node/handover.go
@@ -113,17 +113,17 @@
 		State: map[balance.State]string{balance.Up: "ready", balance.Draining: "draining", balance.Removed: "gone"}[h.State]}
 }
 
-// Yield is called at the predecessor when the successor accepts connections. It returns request ids that the successor has not
-// been sent.
-func (n *Node) Yield() []uint64 {
+// Yield is called at the predecessor when the successor accepts connections, with the number of descriptors that it gives up to
+// the successor.
+func (n *Node) Yield(room int) {
 	state := &n.handover
 	state.yielded = true
+	state.updates.yield = &handover.Yield{Room: room}
 	n.yieldLimits()
 	log.Printf("msg=yielded flows=%d", n.flows.count)
 	if n.stopAt > 0 {
 		n.deadlines.set(&state.timer, n.now)
 	}
-	return state.updates.takeIDs()
 }
 
 // PeerProcessGone is called when the peer process or the link to it has ended. It reports whether this process has to
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -135,7 +135,7 @@
 	if lost := state.Node.ForTypes(state.Types[:1], successor.node.typeNames()); lost.Loads != nil {
 		t.Fatal("figures without type names were used", lost.Loads)
 	}
-	predecessor.run(1, func() { n.Yield(); n.Stop() })
+	predecessor.run(1, func() { n.Yield(0); n.Stop() })
 	peer.steps(predecessor, 3)
 	f := successor.node.conns.get(peer.moved[toll]).flow
 	if f.TypeIndex != 0 || f.movePending {
@@ -169,12 +169,11 @@
 	if !successor.node.Ready() || !successor.node.handover.peer.(*fakePeer).accepting {
 		t.Fatal(successor.node.state())
 	}
-	late := predecessor.openClient(openLine) // its id is sent when the predecessor yields
-	predecessor.run(1, func() {
-		if ids := n.Yield(); len(ids) != 1 {
-			t.Fatal(ids)
-		}
-	})
+	late := predecessor.openClient(openLine) // its id is sent after the state, before the predecessor yields
+	predecessor.run(1, func() { n.StateSent(); n.Yield(30) })
+	if sent := peer.messages; len(sent) != 2 || len(sent[0].IDs) != 1 || sent[1].Yield.Room != 30 {
+		t.Fatal(sent)
+	}
 	peer.steps(predecessor, 3)
 	if len(peer.moved) != 0 || !n.answersFront() {
 		t.Fatal("connections handed over before the stop")
@@ -250,7 +249,7 @@
 		t.Fatal(peer.messages)
 	}
 	peer.refuses = true
-	predecessor.run(1, func() { n.Yield() })
+	predecessor.run(1, func() { n.Yield(0) })
 	for !n.Done() {
 		peer.steps(predecessor, 1)
 	}
@@ -334,6 +333,13 @@
 	if len(peer.messages) != 2 || !slices.Equal(peer.messages[0].Drains, []string{"s-0"}) || !peer.messages[1].Leave {
 		t.Fatal(peer.messages)
 	}
+	peer.messages, peer.refuses = nil, true
+	predecessor.run(1, func() { n.Yield(7) })
+	peer.refuses = false
+	predecessor.run(updateRetryInterval, func() {})
+	if len(peer.messages) != 1 || peer.messages[0].Yield.Room != 7 {
+		t.Fatal(peer.messages)
+	}
 }
 
 // A new process that is told to stop while it joins leaves the clients to the old one. Before the fix it took over all the same
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -207,7 +207,7 @@
 		t.Fatal("the handover was refused")
 	}
 	net.run(1, n.StateSent)
-	net.run(1, func() { n.Yield() })
+	net.run(1, func() { n.Yield(0) })
 	if got := net.openAndAnswer(openLine); !strings.HasPrefix(net.sent[got], "BUSY") {
 		t.Fatalf("a flow was admitted though the successor grants permits: %q", net.sent[got])
 	}
--- a/node/updates.go
+++ b/node/updates.go
@@ -23,6 +23,7 @@
 	confirmed uint64          // number of the newest command of the peer process; 0 if it need not be confirmed
 	ids       []uint64        // hashes of request ids that clients gave to this process, oldest first
 	reload    bool            // this process was told to read its configuration file again
+	yield     *handover.Yield // this process has yielded to its successor
 	leave     bool            // this process stops before its successor has taken over
 	drains    map[string]bool // UIDs of hosts that take no new flows
 	retry     deadline
@@ -53,13 +54,6 @@
 	return true
 }
 
-// takeIDs returns request ids that the peer process has not been sent, as many as fit into a message, and removes them.
-func (u *peerUpdates) takeIDs() []uint64 {
-	ids := u.ids[:min(len(u.ids), handover.MaxIDsPerMessage)]
-	u.ids = u.ids[len(ids):]
-	return ids
-}
-
 // clear forgets all updates, because there is no peer process or it gets the whole State.
 func (u *peerUpdates) clear(n *Node) {
 	n.deadlines.cancel(&u.retry)
@@ -107,6 +101,8 @@
 				delete(updates.drains, uid)
 			}
 		}
+	case updates.yield != nil:
+		return &handover.Message{Yield: updates.yield}, func() { updates.yield = nil }
 	case updates.leave:
 		return &handover.Message{Leave: true}, func() { updates.leave = false }
 	}
