Lists during a roll: the newer one decides whether a host drains

Made to happen in a test, not seen in a roll: the old process hears that a host drains and tells the new one; an older list, still on its way to that one, names the host ready, and it gets flows again until the change comes. The other way round, a drain that is told late keeps a host draining that the new process's own newer list had brought back, for good, since the list tells only changes.

Change: drains carry the address and the revision of their list (handover.Drains). One that is older than the own list is dropped; an own list that is older does not take a drain back.

Test: TestNewerListDecides, which fails without either half.

--- a/cmd/coursewinch/handover.go
+++ b/cmd/coursewinch/handover.go
@@ -200,6 +200,6 @@
 	case m.IDs != nil:
 		h.node.AddRequestIDs(m.IDs)
 	case m.Drains != nil:
-		h.node.ApplyPeerDrains(m.Drains)
+		h.node.ApplyPeerDrains(*m.Drains)
 	}
 }
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -36,16 +36,16 @@
 // Messages are encoded as JSON under the names of their fields. This holds for all structs below, so a field that is
 // renamed needs a tag with its old name.
 type Message struct {
-	V       int      // the version of the messages
-	Hello   *Hello   `json:",omitempty"` // from the successor: another version of this node starts
-	Refused string   `json:",omitempty"` // from the predecessor: why there is no handover; after the State, the successor has to end
-	State   *Part    `json:",omitempty"` // from the predecessor: a part of its state; the listening socket comes with the last part
-	Take    bool     `json:",omitempty"` // from the successor: it accepts new connections from now on
-	Yield   *Yield   `json:",omitempty"` // from the predecessor: it accepts no more connections
-	Leave   bool     `json:",omitempty"` // from the predecessor: it had to stop before Take arrived, so the successor accepts connections now
-	Drains  []string `json:",omitempty"` // from either: UIDs of hosts that must not get new flows
-	Client  *Client  `json:",omitempty"` // from the predecessor: a client without a flow, with its socket
-	Flow    *Flow    `json:",omitempty"` // from the predecessor: an established flow, with the client's socket and the host's
+	V       int     // the version of the messages
+	Hello   *Hello  `json:",omitempty"` // from the successor: another version of this node starts
+	Refused string  `json:",omitempty"` // from the predecessor: why there is no handover; after the State, the successor has to end
+	State   *Part   `json:",omitempty"` // from the predecessor: a part of its state; the listening socket comes with the last part
+	Take    bool    `json:",omitempty"` // from the successor: it accepts new connections from now on
+	Yield   *Yield  `json:",omitempty"` // from the predecessor: it accepts no more connections
+	Leave   bool    `json:",omitempty"` // from the predecessor: it had to stop before Take arrived, so the successor accepts connections now
+	Drains  *Drains `json:",omitempty"` // from either: hosts that must not get new flows
+	Client  *Client `json:",omitempty"` // from the predecessor: a client without a flow, with its socket
+	Flow    *Flow   `json:",omitempty"` // from the predecessor: an established flow, with the client's socket and the host's
 
 	Command   *Command `json:",omitempty"` // from either: the newest operators' command that it knows
 	Confirmed uint64   `json:",omitempty"` // from either: it knows the operators' commands up to this number
@@ -89,6 +89,13 @@
 	Room int // descriptors
 }
 
+// Drains is what a list of discovery said of hosts that must not get new flows.
+type Drains struct {
+	From string   // address of the discovery service
+	Rev  int64    // revision of its list, or a later one
+	UIDs []string // of the hosts
+}
+
 // Client is a connection of a client that has not asked for a flow yet.
 type Client struct {
 	In, Out []byte // bytes received from it and not processed; bytes not sent to it yet
--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -20,7 +20,7 @@
 // disturb the start of a process.
 func TestDecodeIsStrict(t *testing.T) {
 	host := `"Host":{"UID":"s"}`
-	for text, sockets := range map[string]int{`{"V":3,"Take":true}`: 0, `{"V":3,"Drains":["s"]}`: 0,
+	for text, sockets := range map[string]int{`{"V":3,"Take":true}`: 0, `{"V":3,"Drains":{"UIDs":["s"]}}`: 0,
 		`{"V":3,"Command":{"Number":1}}`: 0, `{"V":3,"Confirmed":1}`: 0, `{"V":3,"IDs":[1]}`: 0, `{"V":3,"Reload":true}`: 0,
 		`{"V":3,"State":{"No":1,"Of":2}}`: 0, `{"V":3,"State":{"No":2,"Of":2}}`: 1, `{"V":3,"Client":{}}`: 1,
 		`{"V":3,"Flow":{"Type":"chat",` + host + `}}`: 2} {
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	if _, err := (&Message{Drains: []string{strings.Repeat("x", MaxMessageBytes)}}).Encode(); err == nil {
+	if _, err := (&Message{Drains: &Drains{UIDs: []string{strings.Repeat("x", MaxMessageBytes)}}}).Encode(); err == nil {
 		t.Error("a message that is too long was encoded")
 	}
 }
@@ -110,7 +110,7 @@
 	if m, sockets, err := b.Receive(); err != nil || len(sockets) != 0 || !m.Take {
 		t.Fatal(m, sockets, err)
 	}
-	for i := 0; a.Send(&Message{Drains: []string{strings.Repeat("z", MaxMessageBytes/2)}}) == nil; i++ {
+	for i := 0; a.Send(&Message{Drains: &Drains{UIDs: []string{strings.Repeat("z", MaxMessageBytes/2)}}}) == nil; i++ {
 		if i > 1000 {
 			t.Fatal("Send never fails, though nothing is received")
 		}
--- a/node/commands_test.go
+++ b/node/commands_test.go
@@ -67,7 +67,7 @@
 	case m.IDs != nil:
 		n.AddRequestIDs(m.IDs)
 	case m.Drains != nil:
-		n.ApplyPeerDrains(m.Drains)
+		n.ApplyPeerDrains(*m.Drains)
 	case m.Leave:
 		n.PredecessorStopping()
 	}
--- a/node/handover.go
+++ b/node/handover.go
@@ -215,35 +215,6 @@
 	n.handOverStep()
 }
 
-// announceDrains tells the peer process which hosts of a list take no new flows, so that it sends them none either.
-func (n *Node) announceDrains(update discovery.List) {
-	if n.handover.peer == nil {
-		return
-	}
-	for _, e := range update.Entries {
-		// Where only draining binds, a host that is gone from the list without having drained does not bind the peer.
-		if e.State == "draining" || e.State == "gone" && !n.settings.DrainBindsAlone {
-			n.handover.updates.addDrain(e.UID)
-		}
-	}
-}
-
-// ApplyPeerDrains marks hosts as draining that take no new flows according to the peer process's list. This process's own
-// list decides when they take flows again.
-func (n *Node) ApplyPeerDrains(uids []string) {
-	var update discovery.List
-	for _, uid := range uids {
-		if h := n.hosts[uid]; h != nil && h.State == balance.Up {
-			entry := n.listEntry(h)
-			entry.State = "draining"
-			update.Entries = append(update.Entries, entry)
-		}
-	}
-	if len(update.Entries) > 0 {
-		n.applyList(balance.ListRemembered, update)
-	}
-}
-
 // handOverStep hands over clients without a request and established flows with few bytes in transit, up to a number per
 // step. The rest follows in a later step, or is moved.
 func (n *Node) handOverStep() {
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -272,10 +272,12 @@
 	update := entries("draining", 1)
 	predecessor.run(1, predecessor.node.StateSent)
 	predecessor.run(1, func() { predecessor.node.receiveList(&conn{}, update) })
-	if len(peer.messages) != 1 || !slices.Equal(peer.messages[0].Drains, []string{"s-0"}) {
+	if len(peer.messages) != 1 || !slices.Equal(peer.messages[0].Drains.UIDs, []string{"s-0"}) {
 		t.Fatal(peer.messages)
 	}
-	successor.run(1, func() { successor.node.ApplyPeerDrains(append(peer.messages[0].Drains, "unknown")) })
+	drains := *peer.messages[0].Drains
+	drains.UIDs = append(drains.UIDs, "unknown")
+	successor.run(1, func() { successor.node.ApplyPeerDrains(drains) })
 	peer.messages, predecessor.node.settings.DrainBindsAlone = nil, true
 	predecessor.run(1, func() { predecessor.node.receiveList(&conn{}, entries("gone", 2)) })
 	if len(peer.messages) != 0 {
@@ -330,7 +332,7 @@
 	predecessor.run(1, n.Stop)
 	peer.refuses = false
 	predecessor.run(updateRetryInterval, func() {})
-	if len(peer.messages) != 2 || !slices.Equal(peer.messages[0].Drains, []string{"s-0"}) || !peer.messages[1].Leave {
+	if len(peer.messages) != 2 || !slices.Equal(peer.messages[0].Drains.UIDs, []string{"s-0"}) || !peer.messages[1].Leave {
 		t.Fatal(peer.messages)
 	}
 	peer.messages, peer.refuses = nil, true
@@ -395,3 +397,49 @@
 		}
 	}
 }
+
+// The newer of the two processes' lists decides whether a host takes flows, in whichever order they come. Before the fix an older
+// list that came late made a host of a drain take flows again, and a drain that came late kept a host draining that a newer list
+// had brought back.
+func TestNewerListDecides(t *testing.T) {
+	const from = "127.2.0.1:8500"
+	list := func(net *fakeNet, rev int64, state string) {
+		update := entries(state, 1)
+		update.Rev = rev
+		net.run(1, func() { net.node.receiveList(&conn{discoveryAddr: from}, update) })
+	}
+	peerDrains := func(net *fakeNet, rev int64) {
+		net.run(1, func() {
+			net.node.ApplyPeerDrains(handover.Drains{From: from, Rev: rev, UIDs: []string{"s-0", "s-new"}})
+		})
+	}
+	want := func(net *fakeNet, uid string, state balance.State) {
+		t.Helper()
+		if got := net.node.hosts[uid].State; got != state {
+			t.Fatalf("host %s has state %v, want %v", uid, got, state)
+		}
+	}
+	p, _ := startRoll(t, 0)
+	list(p.new, 5, "ready")
+	peerDrains(p.new, 7)
+	want(p.new, "s-0", balance.Draining)
+	list(p.new, 6, "ready")
+	want(p.new, "s-0", balance.Draining)
+	p.new.run(1, func() {
+		update := discovery.List{Rev: 6, Entries: []discovery.Entry{{UID: "s-new", Endpoint: "127.0.0.1:1", State: "ready"}}}
+		p.new.node.receiveList(&conn{discoveryAddr: from}, update)
+	})
+	want(p.new, "s-new", balance.Draining)
+	list(p.new, 8, "ready")
+	want(p.new, "s-0", balance.Up)
+	peerDrains(p.new, 7)
+	want(p.new, "s-0", balance.Up)
+	peerDrains(p.new, 9)
+	list(p.new, 1, "ready") // discovery has restarted
+	want(p.new, "s-0", balance.Draining)
+	p.new.runUntil(p.new.node.now + maxChangeDelay + 20*ms)
+	want(p.new, "s-0", balance.Up)
+	peerDrains(p.new, 9)
+	p.new.runUntil(p.new.node.now + 2*maxChangeDelay)
+	want(p.new, "s-0", balance.Draining) // no list of its own says otherwise
+}
--- a/node/node.go
+++ b/node/node.go
@@ -296,6 +296,8 @@
 	acceptStoppedAt int64    // since when no connection is accepted; 0 before
 	operatorCalls   operatorQueues
 	commands        operatorCommands
+	peerDrains      map[string]*peerDrain // by UID of the host
+	peerDrainTimer  deadline
 	handover        handoverState
 	cluster         *cluster // nil where the node works alone
 
@@ -345,6 +347,7 @@
 	n.heldTimer.run = n.releaseHeldFlows
 	n.roomTimer.run = n.retryShedding
 	n.handover.timer.run = n.handoverDue
+	n.peerDrainTimer.run = n.endPeerDrains
 	n.handover.updates.retry.run = func() {} // the iteration that it causes sends the updates at its end
 	return n
 }
@@ -465,6 +468,9 @@
 		if !ok {
 			state = balance.Removed
 		}
+		if kind != balance.ListRemembered {
+			state = n.stateOf(entry.UID, state)
+		}
 		n.decider.ListEntry(&h.Server, state, size, entry.BootMs*ms)
 	}
 	n.decider.EndList(kind)
--- a/node/updates.go
+++ b/node/updates.go
@@ -96,7 +96,7 @@
 	case len(updates.drains) > 0:
 		uids := slices.Sorted(maps.Keys(updates.drains))
 		uids = uids[:min(len(uids), maxDrainsPerMessage)]
-		return &handover.Message{Drains: uids}, func() {
+		return &handover.Message{Drains: &handover.Drains{From: n.listAddr, Rev: n.listRev, UIDs: uids}}, func() {
 			for _, uid := range uids {
 				delete(updates.drains, uid)
 			}
