--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -289,7 +289,7 @@
 	if len(p.config.fleetLimits) == 0 || len(p.config.clusterAddresses) == 0 {
 		return
 	}
-	if p.handler.Yielded() {
+	if p.handler.HandedOver() {
 		p.loop.CloseDatagrams()
 		p.clusterState, p.rebindAt = "waiting", 0
 		return
--- a/cmd/coursewinch/roll_test.go
+++ b/cmd/coursewinch/roll_test.go
@@ -162,12 +162,7 @@
 // One of the two processes is killed or hangs at each step of a handover. The other one has to serve clients.
 func TestHandoverProcessKilledAtEachStep(t *testing.T) {
 	l, d := startHostsAndDiscovery(t)
-	silentListener, err := net.Listen("tcp", "127.0.0.1:0") // discovery that does not answer: the new process stays joining
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer silentListener.Close()
-	silentDiscovery := &fakeDiscovery{addr: silentListener.Addr().String()}
+	silent := silentDiscovery(t) // the new process stays joining
 	folder := t.TempDir()
 	start := func(d *fakeDiscovery) *program { return startNodeWithAdmin(t, d, l, 400, folder) }
 	serves := func(p *program) { p.openFlow(t, "").wantLine(t, "UP 1\r\n") }
@@ -175,7 +170,7 @@
 	held := old.openFlow(t, "")
 	held.wantLine(t, "UP 1\r\n")
 	t.Log("new process killed before it accepts")
-	start(silentDiscovery).cmd.Process.Kill()
+	start(silent).cmd.Process.Kill()
 	old.waitFor(t, "msg=other_process_gone yielded=false")
 	serves(old)
 	t.Log("new process killed after it accepted")
@@ -183,13 +178,13 @@
 	old.waitFor(t, "msg=other_process_gone yielded=true")
 	serves(old)
 	t.Log("new process hangs before it accepts, and is killed")
-	hung := start(silentDiscovery)
+	hung := start(silent)
 	hung.cmd.Process.Signal(syscall.SIGSTOP)
 	old.waitFor(t, "msg=handover_failed")
 	serves(old)
 	hung.cmd.Process.Kill()
 	t.Log("old process stopped before the new one accepts")
-	successor := start(silentDiscovery)
+	successor := start(silent)
 	old.stop(t)
 	serves(successor)
 	io.WriteString(held, "M 1\r\n")
@@ -221,24 +216,35 @@
 	}
 }
 
-// Only one process of a node may be bound to its cluster address if the fleet keeps a limit. A new version waits until the
-// old one has handed over. A process that gets nothing handed over ends with an error and one line.
-func TestRollWithExclusiveClusterAddress(t *testing.T) {
-	l, d := startHostsAndDiscovery(t)
+// fleetConfig returns the configuration of a node in a fleet that keeps a limit, and its cluster address. The other node can't be
+// reached.
+func fleetConfig(t *testing.T, d *fakeDiscovery, known, limit string) (config, clusterAddr string) {
+	t.Helper()
 	free, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	at := free.LocalAddr().String()
+	clusterAddr = free.LocalAddr().String()
 	free.Close()
-	fleet := fmt.Sprintf(`{"cluster":{"on":true,"listen":%q,"nodes":["127.0.0.1:9"],"limits":[{"over":"address","rate":50,"burst":50,"promise":"available"}]},`, at)
-	config := strings.Replace(configText(d, l, 400), "{", fleet, 1)
+	fleet := fmt.Sprintf(`{"cluster":{"on":true,"listen":%q,"nodes":["127.0.0.1:9"],"limits":[%s]},`, clusterAddr, limit)
+	return strings.Replace(configText(d, known, 400), "{", fleet, 1), clusterAddr
+}
+
+// startFleetNode starts a node with an admin address and a folder for the handover socket.
+func startFleetNode(t *testing.T, config, folder string) *program {
+	t.Helper()
+	p := prepareProgram(t, strings.Replace(config, "{", `{"admin":"127.0.0.1:0",`, 1))
+	p.cmd.Env = append(p.cmd.Env, "TMPDIR="+folder)
+	return startProgram(t, p)
+}
+
+// Only one process of a node may be bound to its cluster address if the fleet keeps a limit. A new version waits until the
+// old one has handed over. A process that gets nothing handed over ends with an error and one line.
+func TestRollWithExclusiveClusterAddress(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	config, at := fleetConfig(t, d, l, `{"over":"address","rate":50,"burst":50,"promise":"available"}`)
 	folder := t.TempDir()
-	start := func() *program {
-		p := prepareProgram(t, strings.Replace(config, "{", `{"admin":"127.0.0.1:0",`, 1))
-		p.cmd.Env = append(p.cmd.Env, "TMPDIR="+folder)
-		return startProgram(t, p)
-	}
+	start := func() *program { return startFleetNode(t, config, folder) }
 	old := start().waitReady(t)
 	old.waitFor(t, "cluster="+at)
 	unrelated := prepareProgram(t, config)
@@ -260,24 +266,11 @@
 // the fix it answered BUSY to every flow, and said that it was ready.
 func TestLimitsServeAfterNewProcessDied(t *testing.T) {
 	l, d := startHostsAndDiscovery(t)
-	free, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	at := free.LocalAddr().String()
-	free.Close()
-	fleet := fmt.Sprintf(`{"admin":"127.0.0.1:0","cluster":{"on":true,"listen":%q,"nodes":["127.0.0.1:9"],`+
-		`"limits":[{"over":"type","at_once":20,"promise":"available"}]},`, at)
-	config := strings.Replace(configText(d, l, 400), "{", fleet, 1)
+	config, at := fleetConfig(t, d, l, `{"over":"type","at_once":20,"promise":"available"}`)
 	folder := t.TempDir()
-	start := func() *program {
-		p := prepareProgram(t, config)
-		p.cmd.Env = append(p.cmd.Env, "TMPDIR="+folder)
-		return startProgram(t, p).waitReady(t)
-	}
-	old := start()
+	old := startFleetNode(t, config, folder).waitReady(t)
 	old.openFlow(t, "").wantLine(t, "UP 1\r\n")
-	next := start()
+	next := startFleetNode(t, config, folder).waitReady(t)
 	next.waitFor(t, "msg=cluster listen="+at)
 	next.kill(t)
 	old.waitFor(t, "msg=cluster listen="+at)
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 	"coursewinch/admission"
 	"coursewinch/balance"
 	"coursewinch/capture"
-	"coursewinch/cluster/peers"
 	"coursewinch/discovery"
 	"coursewinch/lines"
 	"coursewinch/settings"
@@ -440,60 +439,6 @@
 // when there is none.
 func (n *Node) NextDeadline() (at int64, ok bool) { return n.deadlines.next() }
 
-// applyList updates the hosts from a list and passes it to the module.
-func (n *Node) applyList(kind balance.ListKind, update discovery.List) {
-	n.decider.BeginList(kind)
-	for _, entry := range update.Entries {
-		h := n.hosts[entry.UID]
-		if h == nil && len(n.hosts) >= n.limits.Hosts {
-			n.logThrottled("list_cut", "more hosts than are kept")
-			continue
-		}
-		if h == nil {
-			h = n.addHost(entry.UID)
-		}
-		if entry.Endpoint != "" && entry.Endpoint != h.addr {
-			h.addr = entry.Endpoint
-			n.closeProbe(h)
-		}
-		h.zoneName = entry.Zone
-		h.Zone = n.zoneNumber(entry.Zone)
-		h.Cell = entry.Cell
-		size := entry.Size
-		if size <= 0 {
-			size = 1
-		}
-		states := map[string]balance.State{"ready": balance.Up, "draining": balance.Draining}
-		state, ok := states[entry.State]
-		if !ok {
-			state = balance.Removed
-		}
-		if kind != balance.ListRemembered {
-			state = n.stateOf(entry.UID, state)
-		}
-		n.decider.ListEntry(&h.Server, state, size, entry.BootMs*ms)
-	}
-	n.decider.EndList(kind)
-	n.forgetRemovedHosts()
-	n.updateClusterHosts()
-}
-
-// addHost adds a host of the list that was not known.
-func (n *Node) addHost(uid string) *host {
-	h := &host{uid: uid, Server: balance.Server{Name: uid, Hash: hash(uid)}}
-	h.probeDeadline.run = func() {
-		if h.probeUnsent {
-			n.probeFailed(h, balance.Saturated) // says nothing about the host
-			return
-		}
-		n.probeFailed(h, balance.Overdue)
-	}
-	n.hosts[uid] = h
-	n.hostsByShortHash[peers.ShortHash(h.Hash)] = h
-	n.hostList = append(n.hostList, h)
-	return h
-}
-
 // register adds a connection to the table and counts its rings against this node's budget. It returns the id.
 func (n *Node) register(c *conn) uint64 {
 	c.in.SetBudget(n.ringBudget)
@@ -501,30 +446,6 @@
 	return n.conns.add(c)
 }
 
-// zoneNumber returns the number of a zone. Zones that the settings don't name get distinct negative numbers: a repeat that
-// is recognised only within its zone must not go to another unnamed zone.
-func (n *Node) zoneNumber(name string) int {
-	if no, ok := n.settings.ZoneIndex[name]; ok {
-		return no
-	}
-	return -1 - int(hash(name)>>2)
-}
-
-// forgetRemovedHosts removes hosts that have left the list and have no flow and no outstanding probe of this node.
-func (n *Node) forgetRemovedHosts() {
-	kept := n.hostList[:0]
-	for _, h := range n.hostList {
-		if h.State == balance.Removed && h.flowCount == 0 && h.probeSentAt == 0 {
-			n.closeProbe(h)
-			delete(n.hosts, h.uid)
-			continue
-		}
-		kept = append(kept, h)
-	}
-	clear(n.hostList[len(kept):])
-	n.hostList = kept
-}
-
 // hash returns the FNV-1a hash of a name. All nodes must compute the same one.
 func hash(text string) uint64 {
 	h := uint64(14695981039346656037)
--- a/node/peerdrains.go
+++ b/node/peerdrains.go
@@ -28,7 +28,7 @@
 	}
 	for _, entry := range update.Entries {
 		// Where only draining binds, a host that is gone from the list without having drained does not bind the peer.
-		if entry.State == "draining" || entry.State == "gone" && !n.settings.DrainBindsAlone {
+		if entry.State == listedDraining || entry.State == listedGone && !n.settings.DrainBindsAlone {
 			n.handover.updates.addDrain(entry.UID)
 		} else {
 			delete(n.handover.updates.drains, entry.UID)
@@ -49,7 +49,7 @@
 	for _, uid := range drains.UIDs {
 		n.peerDrains[uid] = &peerDrain{from: drains.From, rev: drains.Rev, until: n.now + maxChangeDelay}
 		if h := n.hosts[uid]; h != nil && h.State == balance.Up {
-			update.Entries = append(update.Entries, n.entryInState(h, "draining"))
+			update.Entries = append(update.Entries, n.entryInState(h, listedDraining))
 		}
 	}
 	if len(update.Entries) > 0 {
@@ -86,7 +86,7 @@
 		}
 		delete(n.peerDrains, uid)
 		if h := n.hosts[uid]; h != nil && drain.overruled {
-			update.Entries = append(update.Entries, n.entryInState(h, "ready"))
+			update.Entries = append(update.Entries, n.entryInState(h, listedReady))
 		}
 	}
 	if len(update.Entries) > 0 {
@@ -96,10 +96,3 @@
 		n.deadlines.set(&n.peerDrainTimer, next)
 	}
 }
-
-// entryInState returns a host as an entry of a list, with another state.
-func (n *Node) entryInState(h *host, state string) discovery.Entry {
-	entry := n.listEntry(h)
-	entry.State = state
-	return entry
-}
