A new version calls the running process again if there was no answer in time

Cause: one timeout, which a pause of the caller itself brings about, was taken for "nobody can answer".

Change: one more call after a timeout. A process that refuses, or speaks another form, is treated as before.

Test: TestNewVersionCallsAgainAfterTimeout; without the second call the new version starts from nothing.

--- a/cmd/coursewinch/roll_reload_test.go
+++ b/cmd/coursewinch/roll_start_test.go
@@ -72,44 +72,91 @@
 	}
 }
 
-// A new version reads its file before it calls the running process. A file that changes in between, whose change only that
-// process was told of, counts all the same. Here the test is the running process.
-func TestFileChangedWhileNewVersionStarts(t *testing.T) {
-	l, first := startHostsAndDiscovery(t)
-	named := newDiscovery(t, l)
-	folder := socketFolder(t)
-	running := prepareProgram(t, configWithAdmin(first, l))
+// predecessor is a test in the place of the running process.
+type predecessor struct {
+	*handover.Listener
+	clients *os.File // the clients' listener
+	state   *handover.State
+}
+
+// newPredecessor listens in a folder for a new version of the node that tests start.
+func newPredecessor(t *testing.T, folder string, d *fakeDiscovery) *predecessor {
+	t.Helper()
 	clients, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer clients.Close()
+	t.Cleanup(func() { clients.Close() })
 	socket, err := clients.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer socket.Close()
+	t.Cleanup(func() { socket.Close() })
 	successors, err := handover.Listen(handover.SocketPath(folder, "n0", "127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer successors.Close()
+	t.Cleanup(func() { successors.Close() })
+	return &predecessor{successors, socket, &handover.State{Room: 200, From: d.addr}}
+}
+
+// acceptHello waits for the call of a new version.
+func (p *predecessor) acceptHello(t *testing.T) *handover.Link {
+	link, err := p.Accept()
+	if err != nil {
+		return nil // the test has ended
+	}
+	if m, _, err := link.Receive(); err != nil || m.Hello == nil {
+		t.Error(m, err)
+	}
+	return link
+}
+
+// sendState sends the State and waits until the new version ends.
+func (p *predecessor) sendState(t *testing.T, link *handover.Link) {
+	parts, err := p.state.Split()
+	if err != nil || len(parts) != 1 {
+		t.Error(len(parts), err)
+	}
+	if err := link.SendBlocking(parts[0], int(p.clients.Fd())); err != nil {
+		t.Error(err)
+	}
+	link.Receive()
+}
+
+// A new version reads its file before it calls the running process. A file that changes in between, whose change only that
+// process was told of, counts all the same.
+func TestFileChangedWhileNewVersionStarts(t *testing.T) {
+	l, first := startHostsAndDiscovery(t)
+	named := newDiscovery(t, l)
+	folder := socketFolder(t)
+	running := prepareProgram(t, configWithAdmin(first, l))
+	p := newPredecessor(t, folder, first)
 	go func() {
-		link, err := successors.Accept()
-		if err != nil {
-			return
+		if link := p.acceptHello(t); link != nil {
+			if err := os.WriteFile(running.configPath, []byte(configWithAdmin(named, l)), 0o600); err != nil {
+				t.Error(err)
+			}
+			p.sendState(t, link)
 		}
-		if _, _, err := link.Receive(); err != nil {
-			t.Error(err)
-		}
-		if err := os.WriteFile(running.configPath, []byte(configWithAdmin(named, l)), 0o600); err != nil {
-			t.Error(err)
+	}()
+	running.startFromFileOf(t, folder).waitFor(t, "msg=watching discovery="+named.addr)
+}
+
+// A new version calls the running process again if that was held up over the time for an answer. Before the fix it started from
+// nothing beside a process that was well, and so undrained.
+func TestNewVersionCallsAgainAfterTimeout(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	p := newPredecessor(t, folder, d)
+	p.state.Command = handover.Command{Number: 1, Drained: true}
+	go func() {
+		if first := p.acceptHello(t); first == nil {
+			return
 		}
-		parts, _ := (&handover.State{Room: 200, From: first.addr}).Split()
-		if err := link.SendBlocking(parts[0], int(socket.Fd())); err != nil || len(parts) != 1 {
-			t.Error(len(parts), err)
+		if second := p.acceptHello(t); second != nil {
+			p.sendState(t, second)
 		}
-		link.Receive() // until the new version ends
 	}()
-	running.startFromFileOf(t, folder).waitFor(t, "msg=watching discovery="+named.addr)
+	startNodeWithAdmin(t, d, l, 400, folder).waitFor(t, "msg=joining hosts=0 rev=0 ids=0 drained=true")
 }
--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"net"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,23 +21,44 @@
 	return errors.Is(err, unix.ENOENT) || errors.Is(err, unix.ECONNREFUSED)
 }
 
+// isTimeout reports whether a call of the predecessor was not answered in time.
+func isTimeout(err error) bool {
+	var netError net.Error
+	return errors.As(err, &netError) && netError.Timeout()
+}
+
 // callPredecessor requests the state and the clients' listener of the running process. It retries while that process
-// refuses.
+// refuses, and once if there was no answer in time: either process may have been held up.
 func (h *handoverManager) callPredecessor() (*handover.Link, *handover.State, int, error) {
+	timeouts := 0
 	for start := time.Now(); ; time.Sleep(refusedRetryInterval) {
-		link, err := handover.Dial(h.socketPath, connectTimeout)
-		if err != nil {
-			return nil, nil, -1, err
-		}
-		state, fd, err := h.requestState(link)
+		link, state, fd, err := h.callPredecessorOnce()
 		if err == nil {
 			return link, state, fd, nil
 		}
-		link.Close()
-		if !errors.Is(err, errRefused) || time.Since(start) > refusedRetryTime {
+		if isTimeout(err) {
+			timeouts++
+		} else if !errors.Is(err, errRefused) || time.Since(start) > refusedRetryTime {
 			return nil, nil, -1, err
 		}
+		if timeouts > 1 {
+			return nil, nil, -1, err
+		}
+	}
+}
+
+// callPredecessorOnce makes one call to the running process.
+func (h *handoverManager) callPredecessorOnce() (*handover.Link, *handover.State, int, error) {
+	link, err := handover.Dial(h.socketPath, connectTimeout)
+	if err != nil {
+		return nil, nil, -1, err
+	}
+	state, fd, err := h.requestState(link)
+	if err != nil {
+		link.Close()
+		return nil, nil, -1, err
 	}
+	return link, state, fd, nil
 }
 
 // requestState receives the predecessor's state in parts, and its clients' listener with the last one.
