--- a/cmd/coursewinch/roll_start_test.go
+++ b/cmd/coursewinch/roll_start_test.go
@@ -75,7 +75,7 @@
 // predecessor is a test in the place of the running process.
 type predecessor struct {
 	*handover.Listener
-	clients *os.File // the clients' listener
+	clients int // descriptor of the clients' listener
 	state   *handover.State
 }
 
@@ -97,7 +97,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { successors.Close() })
-	return &predecessor{successors, socket, &handover.State{Room: 200, From: d.addr}}
+	return &predecessor{successors, int(socket.Fd()), &handover.State{Room: 200, From: d.addr}}
 }
 
 // acceptHello waits for the call of a new version.
@@ -118,7 +118,7 @@
 	if err != nil || len(parts) != 1 {
 		t.Error(len(parts), err)
 	}
-	if err := link.SendBlocking(parts[0], int(p.clients.Fd())); err != nil {
+	if err := link.SendBlocking(parts[0], p.clients); err != nil {
 		t.Error(err)
 	}
 	link.Receive()
