A process that the old one gave up on answers no command with 200

Seen by reading: in the second between Refused and its end, such a process answered a drain with 200 although the old process, which goes on, could not be told: it has no other process any more, and so nobody to confirm.

Change: its commands are answered with 503. Test: TestRefusedProcessPromisesNothing (200 without the change). Also: Yielded, which stood beside HandedOver, is gone, and what the peer process said of hosts is forgotten at the earliest time that is due.

--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -141,7 +141,7 @@
 	log.Printf("msg=handover_failed why=%q", reason)
 	h.refused = fmt.Errorf("handover: %w: %s", errRefused, reason)
 	h.loop.SetAccepting(false)
-	h.node.Stop()
+	h.node.PredecessorRefused()
 }
 
 // addAdopted adds the socket of an adopted client connection, and resumes it.
--- a/node/commands.go
+++ b/node/commands.go
@@ -79,6 +79,9 @@
 
 // isConfirmed reports whether a command is known to all processes of the node.
 func (n *Node) isConfirmed(number uint64) bool {
+	if n.handover.refused {
+		return false // the other process goes on and can't be told
+	}
 	return n.handover.peer == nil || number <= n.commands.confirmed
 }
 
--- a/node/commands_test.go
+++ b/node/commands_test.go
@@ -184,6 +184,16 @@
 	wantAnswer(t, p.old, call, 200)
 }
 
+// A new process that the old one goes on without can promise operators nothing.
+func TestRefusedProcessPromisesNothing(t *testing.T) {
+	p, _ := startRoll(t, 0)
+	p.new.run(1, p.new.node.PredecessorRefused)
+	p.new.run(1, func() { p.new.node.PeerProcessGone() })
+	call := command(p.new, "drain")
+	p.new.run(confirmationTimeout, func() {})
+	wantAnswer(t, p.new, call, 503)
+}
+
 // Calls that wait for a confirmation are not given up for other callers.
 func TestWaitingCallKeepsItsPlace(t *testing.T) {
 	p, _ := startRoll(t, 0)
--- a/node/handover.go
+++ b/node/handover.go
@@ -34,6 +34,7 @@
 	isPredecessor bool // the peer process is the successor
 	joining       bool // successor that has not taken over yet
 	tookOverAt    int64
+	refused       bool // successor that the predecessor has given up on
 	isSuccessor   bool // this process started as a successor, so its first list is the one its predecessor used
 	stateSent     bool // predecessor that has sent its state
 	yielded       bool // predecessor whose successor has taken over
@@ -167,6 +168,13 @@
 		state.Command.Drained)
 }
 
+// PredecessorRefused is called at a successor when its predecessor has given up on it and goes on alone. This process ends, and
+// can promise operators nothing for the node.
+func (n *Node) PredecessorRefused() {
+	n.handover.refused = true
+	n.Stop()
+}
+
 // PredecessorStopping is called at a successor when its predecessor is stopping and waits for it to take over.
 func (n *Node) PredecessorStopping() { n.finishJoining() }
 
@@ -223,6 +231,3 @@
 
 // HandedOver reports whether the successor process accepts this node's connections.
 func (n *Node) HandedOver() bool { return n.handover.yielded }
-
-// Yielded reports the same as HandedOver.
-func (n *Node) Yielded() bool { return n.handover.yielded }
--- a/node/peerdrains.go
+++ b/node/peerdrains.go
@@ -77,11 +77,13 @@
 // from now on, although that list is older.
 func (n *Node) endPeerDrains() {
 	var update discovery.List
-	next := int64(0)
+	next := int64(0) // when the next one is forgotten
 	for _, uid := range slices.Sorted(maps.Keys(n.peerDrains)) {
 		drain := n.peerDrains[uid]
 		if n.now < drain.until {
-			next = max(next, drain.until)
+			if next == 0 || drain.until < next {
+				next = drain.until
+			}
 			continue
 		}
 		delete(n.peerDrains, uid)
