Lists during a roll: a host that a whole list leaves out is told to the other process

Was open in the roadmap: a process told the other one which hosts a list names as draining or gone, but not those that a whole list leaves out, so that the other one sent them flows until its own list came.

Cause: announceDrains looked at the entries only. Change: before a whole list is applied, the hosts that it leaves out are noted as well, unless only draining binds.

Test: TestUnlistedHostIsToldToPeerProcess, which fails without the change.

--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -443,3 +443,21 @@
 	p.new.runUntil(p.new.node.now + 2*maxChangeDelay)
 	want(p.new, "s-0", balance.Draining) // no list of its own says otherwise
 }
+
+// A host that a whole list leaves out takes no new flows of the peer process either, unless only draining binds. Before the fix
+// the peer process was told only of hosts that a list names.
+func TestUnlistedHostIsToldToPeerProcess(t *testing.T) {
+	for _, drainBindsAlone := range []bool{false, true} {
+		p, _ := startRoll(t, 0)
+		p.old.run(1, p.old.node.StateSent)
+		p.old.node.settings.DrainBindsAlone = drainBindsAlone
+		whole := entries("ready", 1) // without s-1
+		whole.All, whole.Rev = true, 9
+		p.old.run(1, func() { p.old.node.receiveList(&conn{}, whole) })
+		p.exchange()
+		listed, left := p.new.node.hosts["s-0"].State, p.new.node.hosts["s-1"].State
+		if listed != balance.Up || (left != balance.Up) == drainBindsAlone {
+			t.Fatal(drainBindsAlone, listed, left)
+		}
+	}
+}
--- a/node/peerdrains.go
+++ b/node/peerdrains.go
@@ -21,11 +21,16 @@
 	overruled bool   // an older list of this process says that the host takes flows
 }
 
-// announceDrains notes for the peer process which hosts of a list take no new flows.
+// announceDrains notes for the peer process which hosts of a list take no new flows. It is called before the list is applied.
 func (n *Node) announceDrains(update discovery.List) {
 	if n.handover.peer == nil {
 		return
 	}
+	if update.All && !n.settings.DrainBindsAlone {
+		for uid := range n.hosts { // those that the list leaves out; its entries follow
+			n.handover.updates.addDrain(uid)
+		}
+	}
 	for _, entry := range update.Entries {
 		// Where only draining binds, a host that is gone from the list without having drained does not bind the peer.
 		if entry.State == listedDraining || entry.State == listedGone && !n.settings.DrainBindsAlone {
--- a/node/watch.go
+++ b/node/watch.go
@@ -117,8 +117,8 @@
 	}
 	n.listAddr, n.listRev = c.discoveryAddr, update.Rev
 	n.Count.Lists++
-	n.applyList(kind, update)
 	n.announceDrains(update)
+	n.applyList(kind, update)
 	n.finishJoining()
 	n.releaseHeldFlows()
 }
