Limits: an old process leaves the fleet's address to the new one also after limits were removed

Was open in the roadmap: a process that started with limits, and was told by SIGHUP that there are none, kept its datagram socket after it had yielded, so that the new process waited for the address until the old one ended.

Cause: whether the address is one process's alone was read from the configuration of the moment, not from what was bound.

Change: it is noted at the start. Test: TestClusterAddressLeftAfterLimitsWereRemoved with real processes; without the change the new process never binds the address.

--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -68,6 +68,7 @@
 	adminAddress  string // "off" if there is none
 	peerAddress   string // "off" if there is none
 	clusterState  string // the bound address, or "off", "alone" or "waiting" without one
+	exclusive     bool   // only one process may be bound to the cluster address, because the process started with limits
 	rebindAt      int64  // when to try again to bind the cluster address, in microseconds; 0 if no attempt is pending
 }
 
@@ -259,6 +260,7 @@
 	if c.Cluster.On {
 		p.clusterState = "alone"
 	}
+	p.exclusive = len(c.fleetLimits) > 0
 	if len(c.clusterAddresses) > 0 {
 		return p.listenCluster()
 	}
@@ -268,7 +270,7 @@
 // listenCluster binds the address for messages of the fleet. If the fleet keeps a limit, only one process may be bound
 // to it, because two processes under one name would vote twice. A successor waits until the predecessor closes it.
 func (p *process) listenCluster() error {
-	address, err := p.loop.ListenDatagrams(p.config.Cluster.Listen, len(p.config.fleetLimits) > 0, func(from netip.AddrPort, datagram []byte) {
+	address, err := p.loop.ListenDatagrams(p.config.Cluster.Listen, p.exclusive, func(from netip.AddrPort, datagram []byte) {
 		p.handler.ReceiveClusterDatagram(slices.Index(p.config.clusterAddresses, from), datagram)
 	})
 	if errors.Is(err, epoll.ErrAddressTaken) && p.config.Admin != "" {
@@ -286,7 +288,7 @@
 // shareClusterAddress leaves the cluster address to the successor process where only one process may be bound to it, and binds
 // it again if the successor ends first.
 func (p *process) shareClusterAddress(now int64) {
-	if len(p.config.fleetLimits) == 0 || len(p.config.clusterAddresses) == 0 {
+	if !p.exclusive || len(p.config.clusterAddresses) == 0 {
 		return
 	}
 	if p.handler.HandedOver() {
--- a/cmd/coursewinch/roll_test.go
+++ b/cmd/coursewinch/roll_test.go
@@ -285,3 +285,19 @@
 	}
 	old.stop(t)
 }
+
+// A process that started with limits leaves the cluster address to its successor, also if a reload has removed the limits since.
+// Before the fix the new process could not bind it until the old one had ended.
+func TestClusterAddressLeftAfterLimitsWereRemoved(t *testing.T) {
+	l, d := startHostsAndDiscovery(t)
+	config, at := fleetConfig(t, d, l, `{"over":"type","at_once":20,"promise":"available"}`)
+	without := strings.Replace(config, `{"over":"type","at_once":20,"promise":"available"}`, "", 1)
+	folder := t.TempDir()
+	old := startFleetNode(t, config, folder).waitReady(t)
+	old.replaceConfig(t, strings.Replace(without, "{", `{"admin":"127.0.0.1:0",`, 1))
+	old.waitFor(t, "msg=config_read")
+	next := startFleetNode(t, without, folder).waitReady(t)
+	next.waitFor(t, "msg=cluster listen="+at)
+	old.stop(t)
+	next.openFlow(t, "").wantLine(t, "UP 1\r\n")
+}
