--- a/cmd/coursewinch/roll_commands_test.go
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"os"
 	"strings"
@@ -319,3 +320,65 @@
 	old.stop(t)
 	next.openFlow(t, "").wantLine(t, "UP 1\r\n")
 }
+
+// envNumber returns a number from the environment, for long runs by hand; preset without one.
+func envNumber(t *testing.T, name string, preset int64) (number int64) {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return preset
+	}
+	if _, err := fmt.Sscan(text, &number); err != nil {
+		t.Fatal(name, err)
+	}
+	return number
+}
+
+// logged returns how often the output of a process contains a text so far.
+func (p *program) logged(text string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Count(p.output.String(), text)
+}
+
+// Rolls in a row, with commands at either process before and after the take-over, and either process killed or stopped, all
+// drawn from a seed: the process that is left obeys the last command that was answered with 200. A longer run by hand:
+// COURSEWINCH_ROLLS=300 COURSEWINCH_SEED=2 go test -run TestCommandsAcrossRolls ./cmd/coursewinch
+func TestCommandsAcrossRolls(t *testing.T) {
+	seed := envNumber(t, "COURSEWINCH_SEED", 1)
+	rng := rand.New(rand.NewSource(seed))
+	l, d := startHostsAndDiscovery(t)
+	folder := socketFolder(t)
+	running := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	const goneText = "msg=other_process_gone"
+	for roll := range envNumber(t, "COURSEWINCH_ROLLS", 12) {
+		yields := running.logged("msg=yielded")
+		forNew, phase := d, "taken over"
+		if rng.Intn(2) == 0 {
+			forNew, phase = silentDiscovery(t), "joining"
+		}
+		new := startNodeWithAdmin(t, forNew, l, 400, folder)
+		if phase == "taken over" {
+			running.waitForCount(t, "msg=yielded", yields+1)
+		}
+		drained := false
+		for range 1 + rng.Intn(3) {
+			called := []*program{running, new}[rng.Intn(2)]
+			drained = rng.Intn(2) == 0
+			called.wantCommand(t, map[bool]string{true: "drain", false: "resume"}[drained])
+		}
+		left, gone := new, running
+		if rng.Intn(2) == 0 {
+			left, gone = running, new
+		}
+		seen := left.logged(goneText)
+		end := []func(*testing.T){gone.kill, func(t *testing.T) { gone.stop(t) }}[rng.Intn(2)]
+		end(t)
+		left.waitForCount(t, goneText, seen+1)
+		t.Logf("roll %d: %s, drained %t, the new process is left: %t", roll, phase, drained, left == new)
+		left.wantPing(t, map[bool]string{true: "NO\r\n", false: "PONG\r\n"}[drained])
+		running = left
+	}
+	running.wantCommand(t, "resume")
+	running.waitReady(t).openFlow(t, "").wantLine(t, "UP 1\r\n")
+}
