Handover: what a process sent before its end arrives, also if it left messages unread

Found on reading the change again: a process that ends while messages of its peer lie unread in its socket makes the peer's next read fail with "connection reset", before the messages that it had sent; Receive took that for the end of the link. What was in between was lost: handed-over clients and flows with their sockets, and commands.

Cause: AF_UNIX reports ECONNRESET once, ahead of the queue. Change: Receive reads again after it.

Test: TestMessagesSurviveTheirSender, which fails with "connection reset by peer" without the change.

--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -133,3 +133,39 @@
 		t.Fatal("the field Fresh was rejected")
 	}
 }
+
+// A process that ends may leave messages of its peer unread, which the system reports to the peer as a reset connection, before
+// what the process sent last. Those messages and their sockets have to arrive all the same.
+func TestMessagesSurviveTheirSender(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.sock")
+	listener, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	ending, err := Dial(path, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	sentBoth := errors.Join(peer.Send(&Message{Confirmed: 1}), ending.Send(&Message{Client: &Client{}}, 0), ending.Send(&Message{Reload: true}))
+	if sentBoth != nil {
+		t.Fatal(sentBoth)
+	}
+	ending.Close()
+	m, sockets, err := peer.Receive()
+	if err != nil || m.Client == nil || len(sockets) != 1 {
+		t.Fatal(m, sockets, err)
+	}
+	unix.Close(sockets[0])
+	if m, _, err = peer.Receive(); err != nil || !m.Reload {
+		t.Fatal(m, err)
+	}
+	if m, _, err = peer.Receive(); err == nil {
+		t.Fatal("a message after the end:", m)
+	}
+}
--- a/handover/link.go
+++ b/handover/link.go
@@ -143,6 +143,10 @@
 func (l *Link) Receive() (*Message, []int, error) {
 	oob := make([]byte, unix.CmsgSpace(4*maxSockets))
 	n, oobn, flags, _, err := l.conn.ReadMsgUnix(l.buf, oob)
+	if errors.Is(err, unix.ECONNRESET) {
+		// The peer has ended and left messages unread. The system reports that once, before the peer's last messages.
+		n, oobn, flags, _, err = l.conn.ReadMsgUnix(l.buf, oob)
+	}
 	if err != nil {
 		return nil, nil, err
 	}
