--- a/cluster/permits/user.go
+++ b/cluster/permits/user.go
@@ -153,14 +153,9 @@
 // that are released here are left to the successor.
 func (p *Permits) StopGranting() { p.handingOver = true }
 
-// ResumeGranting undoes StopGranting where the successor process has ended. What this process has in use is reported to the
-// owners at once. The permits that the successor had are free again when they expire.
-func (p *Permits) ResumeGranting() {
-	p.handingOver = false
-	for _, u := range p.usages {
-		u.nextRequestAt = p.now
-	}
-}
+// ResumeGranting undoes StopGranting where the successor process has ended. The permits that it had are free again when they
+// expire.
+func (p *Permits) ResumeGranting() { p.handingOver = false }
 
 // Remaining returns for how long the permits of a key may still be used, in microseconds.
 func (p *Permits) Remaining(key uint64) int64 {
--- a/cmd/coursewinch/main.go
+++ b/cmd/coursewinch/main.go
@@ -278,8 +278,7 @@
 		return nil
 	}
 	if p.rebindAt != 0 && err == nil {
-		log.Printf("msg=cluster listen=%s", address)
-		p.handler.ClusterAddressTakenOver(p.now())
+		p.handler.ClusterAddressTakenOver(p.now(), address.String())
 	}
 	p.clusterState, p.rebindAt = address.String(), 0
 	return err
--- a/cmd/coursewinch/predecessor.go
+++ b/cmd/coursewinch/predecessor.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"errors"
 	"log"
-	"os"
 
 	"coursewinch/handover"
 )
@@ -65,7 +63,7 @@
 	for {
 		m, fds, err := link.Receive()
 		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
+			if isTimeout(err) {
 				log.Printf("msg=handover_failed why=%q", err)
 				successor.Send(&handover.Message{Refused: "the new process did not take over in time"})
 			}
--- a/cmd/coursewinch/roll_commands_test.go
+++ b/cmd/coursewinch/roll_commands_test.go
@@ -15,6 +15,28 @@
 // drainedWithin is the time within which a drained node says no to PING and has told all its clients to move.
 const drainedWithin = 4 * time.Second
 
+// rollingNode is a node whose versions are rolled in a test.
+type rollingNode struct {
+	t         *testing.T
+	list      string
+	discovery *fakeDiscovery
+	folder    string
+}
+
+// startRollingNode starts the first process of a node.
+func startRollingNode(t *testing.T) (n *rollingNode, first *program) {
+	t.Helper()
+	l, d := startHostsAndDiscovery(t)
+	n = &rollingNode{t, l, d, socketFolder(t)}
+	return n, n.start(d).waitReady(t)
+}
+
+// start starts a process of the node, which watches the given discovery.
+func (n *rollingNode) start(d *fakeDiscovery) *program {
+	n.t.Helper()
+	return startNodeWithAdmin(n.t, d, n.list, 400, n.folder)
+}
+
 // socketFolder returns a new folder with a path that is short enough for a Unix socket, whatever the name of the test.
 func socketFolder(t *testing.T) string {
 	t.Helper()
@@ -115,16 +137,14 @@
 			for _, ends := range []string{"old is killed", "old is stopped", "new is killed"} {
 				t.Run(phase+"/"+called+" is drained/"+ends, func(t *testing.T) {
 					t.Parallel()
-					l, d := startHostsAndDiscovery(t)
-					folder := socketFolder(t)
-					old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+					n, old := startRollingNode(t)
 					held := old.openFlow(t, "")
 					held.wantLine(t, "UP 1\r\n")
-					forNew := d
+					forNew := n.discovery
 					if phase == "joining" {
 						forNew = silentDiscovery(t)
 					}
-					new := startNodeWithAdmin(t, forNew, l, 400, folder)
+					new := n.start(forNew)
 					if phase == "taken over" {
 						old.waitFor(t, "msg=yielded")
 					}
@@ -162,11 +182,9 @@
 		for _, ends := range []string{"old is killed", "new is killed"} {
 			t.Run(called+" is resumed/"+ends, func(t *testing.T) {
 				t.Parallel()
-				l, d := startHostsAndDiscovery(t)
-				folder := socketFolder(t)
-				old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+				n, old := startRollingNode(t)
 				old.wantCommand(t, "drain")
-				new := startNodeWithAdmin(t, d, l, 400, folder)
+				new := n.start(n.discovery)
 				old.waitFor(t, "msg=yielded")
 				map[string]*program{"old": old, "new": new}[called].wantCommand(t, "resume")
 				left, gone := new, old
@@ -185,10 +203,8 @@
 // A new process that hangs cannot confirm a drain: the call is answered with 503 in time, and the old process is drained. The
 // new process learns of the drain when it goes on.
 func TestDrainWhileNewProcessHangs(t *testing.T) {
-	l, d := startHostsAndDiscovery(t)
-	folder := socketFolder(t)
-	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
-	new := startNodeWithAdmin(t, silentDiscovery(t), l, 400, folder)
+	n, old := startRollingNode(t)
+	new := n.start(silentDiscovery(t))
 	new.cmd.Process.Signal(syscall.SIGSTOP)
 	if status, body := old.callAdmin(t, "PUT", "/-/drain"); status != 503 {
 		t.Fatal(status, body)
@@ -205,17 +221,15 @@
 // The whole order of review/3: a drain while the new process joins, then the take-over and a stop of the old process. The roll
 // goes on, and all clients are told to move within the time of the drain.
 func TestRollGoesOnDuringDrain(t *testing.T) {
-	l, d := startHostsAndDiscovery(t)
-	folder := socketFolder(t)
-	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	n, old := startRollingNode(t)
 	var held []*testClient
 	for range 20 {
 		c := old.openFlow(t, "")
 		c.wantLine(t, "UP 1\r\n")
 		held = append(held, c)
 	}
-	late := newHeldDiscovery(t, l)
-	new := startNodeWithAdmin(t, late.fakeDiscovery, l, 400, folder)
+	late := newHeldDiscovery(t, n.list)
+	new := n.start(late.fakeDiscovery)
 	start := time.Now()
 	old.wantCommand(t, "drain")
 	late.answer()
@@ -254,16 +268,14 @@
 // An id counts for the node, whichever of its two processes read it: here a slow client's at the old process after the
 // take-over, and one at the new process, before another client gives the same id to the other process.
 func TestRequestIDsDuringRoll(t *testing.T) {
-	l, d := startHostsAndDiscovery(t)
-	folder := socketFolder(t)
-	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	n, old := startRollingNode(t)
 	request := func(c *testClient, id, text string) *testClient {
 		io.WriteString(c, strings.ReplaceAll(text, "ID", id))
 		return c
 	}
 	first, second := request(old.dial(t), "a1", "OPEN ID 7f3a c=ch"), request(old.dial(t), "a2", "OPEN ID 7f3a c=ch")
 	old.wantPing(t, "PONG\r\n") // connections are accepted in their order
-	new := startNodeWithAdmin(t, d, l, 400, folder)
+	new := n.start(n.discovery)
 	old.waitFor(t, "msg=yielded")
 	request(first, "", "at,d=2000\r\n").wantLine(t, "UP 1\r\n")
 	new.waitForIDs(t, 1)
@@ -275,13 +287,11 @@
 
 // A new process that is stopped while it joins does not take over: the old one goes on serving and says yes throughout.
 func TestNewProcessStoppedWhileJoining(t *testing.T) {
-	l, d := startHostsAndDiscovery(t)
-	folder := socketFolder(t)
-	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	n, old := startRollingNode(t)
 	held := old.openFlow(t, "")
 	held.wantLine(t, "UP 1\r\n")
-	late := newHeldDiscovery(t, l)
-	new := startNodeWithAdmin(t, late.fakeDiscovery, l, 400, folder)
+	late := newHeldDiscovery(t, n.list)
+	new := n.start(late.fakeDiscovery)
 	new.cmd.Process.Signal(syscall.SIGTERM)
 	new.waitFor(t, "msg=stopping")
 	late.answer()
@@ -300,10 +310,8 @@
 // A new process that hangs until the old one gives up on it ends when it goes on. Before the fix it accepted connections beside
 // the old process, and neither heard of the other's commands.
 func TestNewProcessGivenUp(t *testing.T) {
-	l, d := startHostsAndDiscovery(t)
-	folder := socketFolder(t)
-	old := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
-	new := startNodeWithAdmin(t, silentDiscovery(t), l, 400, folder)
+	n, old := startRollingNode(t)
+	new := n.start(silentDiscovery(t))
 	new.cmd.Process.Signal(syscall.SIGSTOP)
 	old.waitFor(t, "msg=other_process_gone")
 	old.wantCommand(t, "drain")
@@ -315,12 +323,27 @@
 		old.wantPing(t, "NO\r\n")
 	}
 	old.wantCommand(t, "resume")
-	next := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t) // the old process still hands over
+	next := n.start(n.discovery).waitReady(t) // the old process still hands over
 	old.waitFor(t, "msg=yielded")
 	old.stop(t)
 	next.openFlow(t, "").wantLine(t, "UP 1\r\n")
 }
 
+// The old process is killed after the new one has told it that it takes over, and before it could read that. The new one serves,
+// and hands over to the next version.
+func TestOldProcessKilledBeforeItYielded(t *testing.T) {
+	n, old := startRollingNode(t)
+	new := n.start(silentDiscovery(t))
+	old.cmd.Process.Signal(syscall.SIGSTOP)
+	new.waitFor(t, "msg=took_over")
+	old.kill(t)
+	new.waitFor(t, "msg=other_process_gone yielded=false joining=false")
+	next := n.start(n.discovery).waitReady(t)
+	new.waitFor(t, "msg=yielded")
+	new.stop(t)
+	next.openFlow(t, "").wantLine(t, "UP 1\r\n")
+}
+
 // envNumber returns a number from the environment, for long runs by hand; preset without one.
 func envNumber(t *testing.T, name string, preset int64) (number int64) {
 	t.Helper()
@@ -347,17 +370,15 @@
 func TestCommandsAcrossRolls(t *testing.T) {
 	seed := envNumber(t, "COURSEWINCH_SEED", 3)
 	rng := rand.New(rand.NewSource(seed))
-	l, d := startHostsAndDiscovery(t)
-	folder := socketFolder(t)
-	running := startNodeWithAdmin(t, d, l, 400, folder).waitReady(t)
+	n, running := startRollingNode(t)
 	const goneText = "msg=other_process_gone"
 	for roll := range envNumber(t, "COURSEWINCH_ROLLS", 12) {
 		yields := running.logged("msg=yielded")
-		forNew, phase := d, "taken over"
+		forNew, phase := n.discovery, "taken over"
 		if rng.Intn(2) == 0 {
 			forNew, phase = silentDiscovery(t), "joining"
 		}
-		new := startNodeWithAdmin(t, forNew, l, 400, folder)
+		new := n.start(forNew)
 		if phase == "taken over" {
 			running.waitForCount(t, "msg=yielded", yields+1)
 		}
--- a/cmd/coursewinch/roll_test.go
+++ b/cmd/coursewinch/roll_test.go
@@ -216,28 +216,6 @@
 	}
 }
 
-// fleetConfig returns the configuration of a node in a fleet that keeps a limit, and its cluster address. The other node can't be
-// reached.
-func fleetConfig(t *testing.T, d *fakeDiscovery, known, limit string) (config, clusterAddr string) {
-	t.Helper()
-	free, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	clusterAddr = free.LocalAddr().String()
-	free.Close()
-	fleet := fmt.Sprintf(`{"cluster":{"on":true,"listen":%q,"nodes":["127.0.0.1:9"],"limits":[%s]},`, clusterAddr, limit)
-	return strings.Replace(configText(d, known, 400), "{", fleet, 1), clusterAddr
-}
-
-// startFleetNode starts a node with an admin address and a folder for the handover socket.
-func startFleetNode(t *testing.T, config, folder string) *program {
-	t.Helper()
-	p := prepareProgram(t, strings.Replace(config, "{", `{"admin":"127.0.0.1:0",`, 1))
-	p.cmd.Env = append(p.cmd.Env, "TMPDIR="+folder)
-	return startProgram(t, p)
-}
-
 // Only one process of a node may be bound to its cluster address if the fleet keeps a limit. A new version waits until the
 // old one has handed over. A process that gets nothing handed over ends with an error and one line.
 func TestRollWithExclusiveClusterAddress(t *testing.T) {
@@ -262,6 +240,28 @@
 	old.stop(t)
 }
 
+// fleetConfig returns the configuration of a node in a fleet that keeps a limit, and its cluster address. The other node can't be
+// reached.
+func fleetConfig(t *testing.T, d *fakeDiscovery, known, limit string) (config, clusterAddr string) {
+	t.Helper()
+	free, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clusterAddr = free.LocalAddr().String()
+	free.Close()
+	fleet := fmt.Sprintf(`{"cluster":{"on":true,"listen":%q,"nodes":["127.0.0.1:9"],"limits":[%s]},`, clusterAddr, limit)
+	return strings.Replace(configText(d, known, 400), "{", fleet, 1), clusterAddr
+}
+
+// startFleetNode starts a node with an admin address and a folder for the handover socket.
+func startFleetNode(t *testing.T, config, folder string) *program {
+	t.Helper()
+	p := prepareProgram(t, strings.Replace(config, "{", `{"admin":"127.0.0.1:0",`, 1))
+	p.cmd.Env = append(p.cmd.Env, "TMPDIR="+folder)
+	return startProgram(t, p)
+}
+
 // The old process binds the fleet's address again and admits flows under a limit if the new one dies after it took over. Before
 // the fix it answered BUSY to every flow, and said that it was ready.
 func TestLimitsServeAfterNewProcessDied(t *testing.T) {
--- a/cmd/coursewinch/successor.go
+++ b/cmd/coursewinch/successor.go
@@ -21,7 +21,7 @@
 	return errors.Is(err, unix.ENOENT) || errors.Is(err, unix.ECONNREFUSED)
 }
 
-// isTimeout reports whether a call of the predecessor was not answered in time.
+// isTimeout reports whether the other process did not answer in time.
 func isTimeout(err error) bool {
 	var netError net.Error
 	return errors.As(err, &netError) && netError.Timeout()
@@ -30,19 +30,15 @@
 // callPredecessor requests the state and the clients' listener of the running process. It retries while that process
 // refuses, and once if there was no answer in time: either process may have been held up.
 func (h *handoverManager) callPredecessor() (*handover.Link, *handover.State, int, error) {
-	timeouts := 0
+	timedOut := false
 	for start := time.Now(); ; time.Sleep(refusedRetryInterval) {
 		link, state, fd, err := h.callPredecessorOnce()
-		if err == nil {
-			return link, state, fd, nil
-		}
-		if isTimeout(err) {
-			timeouts++
-		} else if !errors.Is(err, errRefused) || time.Since(start) > refusedRetryTime {
-			return nil, nil, -1, err
-		}
-		if timeouts > 1 {
-			return nil, nil, -1, err
+		switch {
+		case isTimeout(err) && !timedOut:
+			timedOut = true
+		case errors.Is(err, errRefused) && time.Since(start) <= refusedRetryTime:
+		default:
+			return link, state, fd, err
 		}
 	}
 }
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -26,7 +26,7 @@
 	maxSockets      = 2        // sockets that come with a message
 	maxNumber       = 1e15     // every number of a Flow has to be lower
 
-	// MaxIDsPerMessage is the largest number of request ids in a message; as decimal numbers they fit into it.
+	// MaxIDsPerMessage is how many request ids a process may send in one message: as decimal numbers they fit into it.
 	MaxIDsPerMessage = 2000
 )
 
@@ -78,9 +78,9 @@
 
 // State is what the successor starts with.
 type State struct {
-	Room    int // descriptors that the successor may hold, besides those that come with flows
-	Command Command
-	From    string // address of the discovery service that the list came from
+	Room    int     // descriptors that the successor may hold, besides those that come with flows
+	Command Command // the newest operators' command
+	From    string  // address of the discovery service that the list came from
 	List    discovery.List
 	IDs     []uint64 // hashes of the ids that clients used
 	Types   []string // names of the service types, in the order that Node uses
@@ -175,8 +175,6 @@
 		ok = ok && m.State.No > 0 && m.State.No <= m.State.Of && m.State.Of <= maxStateBytes/maxPartBytes+1
 	case m.Yield != nil:
 		ok = ok && m.Yield.Room >= 0
-	case m.IDs != nil:
-		ok = ok && len(m.IDs) <= MaxIDsPerMessage
 	case m.Command != nil:
 		ok = ok && m.Command.Number > 0 && m.Command.Age >= 0
 	case m.Client != nil:
@@ -242,7 +240,7 @@
 	if err := d.Decode(&s); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	if s.Room < 0 || s.Room > math.MaxInt32 || s.Command.Age < 0 {
+	if s.Room < 0 || s.Room > math.MaxInt32 || s.Command.Age < 0 || s.Command.Drained && s.Command.Number == 0 {
 		return nil, errMalformed
 	}
 	for _, e := range s.List.Entries {
--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -78,6 +78,13 @@
 			t.Errorf("%s: %v", what, err)
 		}
 	}
+	for _, bad := range []Command{{Number: 1, Age: -1}, {Drained: true}} {
+		s.Command = bad
+		if got, err := put(func(p []*Message) []*Message { return p }); err == nil {
+			t.Error(got.Command)
+		}
+	}
+	s.Command = Command{}
 	s.List.Entries[0].State = "well"
 	if got, err := put(func(p []*Message) []*Message { return p }); err == nil {
 		t.Error(got.List)
--- a/node/commands.go
+++ b/node/commands.go
@@ -37,7 +37,7 @@
 func (n *Node) giveCommand(drained bool) {
 	number := max(uint64(n.now), n.commands.newest.Number+1)
 	n.applyCommand(handover.Command{Number: number, Drained: drained}, "operator")
-	n.handover.updates.command = true
+	n.handover.updates.command = n.handover.peer != nil
 }
 
 // applyCommand makes a command the newest one and carries it out. The source is logged.
@@ -67,7 +67,7 @@
 	if command.Supersedes(n.commands.newest) {
 		n.applyCommand(command, "other_process")
 	}
-	n.handover.updates.confirmed = max(n.handover.updates.confirmed, command.Number)
+	n.handover.updates.confirmed = command.Number
 }
 
 // CommandConfirmed is called when the peer process knows the operators' commands up to a number. It answers the calls that
--- a/node/commands_test.go
+++ b/node/commands_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"coursewinch/balance"
 	"coursewinch/handover"
 )
 
@@ -173,6 +174,11 @@
 	if p.old.node.state() != "drained" {
 		t.Fatal(p.old.node.state())
 	}
+	open := command(p.old, "drain")
+	p.old.runUntil(p.old.node.now + confirmationTimeout + operatorCallTimeout + 20*ms)
+	if p.old.ended[open] != "close" {
+		t.Fatal("a caller that does not close keeps its place", p.old.ended[open])
+	}
 	p.toNew.refuses = false
 	p.old.run(2*updateRetryInterval, func() {})
 	p.exchange()
@@ -248,10 +254,14 @@
 		command(p.new, "drain")
 		calledAt := p.new.node.now
 		p.exchange()
+		moves := func() int { return p.old.node.Count.Moves + p.new.node.Count.Moves }
+		most := 0 // clients moved in one step
 		both := func(until int64) {
 			for p.old.node.now < until {
+				before := moves()
 				p.old.run(10*ms, func() {})
 				p.new.run(10*ms, func() {})
+				most = max(most, moves()-before)
 			}
 		}
 		p.old.node.now, p.new.node.now = calledAt, calledAt
@@ -271,6 +281,9 @@
 		if moved != flows {
 			t.Errorf("handed over after %d ms: %d of %d clients were told to move", handOverAfter/ms, moved, flows)
 		}
+		if handOverAfter < drainDuration/2 && most > 2 {
+			t.Errorf("handed over after %d ms: %d clients were moved at once", handOverAfter/ms, most)
+		}
 	}
 }
 
@@ -316,6 +329,13 @@
 		wantReady(p.new, 503, "drained\n")
 		p.takeOver()
 		wantReady(p.new, 200, "drained\n")
+		for _, h := range p.new.node.hostList {
+			h.State = balance.Draining
+		}
+		wantReady(p.new, 503, "drained\n") // it has no list by which it could serve
+		for _, h := range p.new.node.hostList {
+			h.State = balance.Up
+		}
 		wantReady(p.old, 503, "drained\n")
 		if predecessorEnds {
 			p.new.run(1, func() { p.new.node.PeerProcessGone() })
@@ -331,6 +351,12 @@
 	command(p.new, "drain")
 	p.exchange()
 	wantReady(p.new, 503, "drained\n")
+	p.new.node.handover.tookOverAt = p.new.node.now
+	wantReady(p.new, 200, "drained\n")
+	p.new.node.PeerProcessGone()
+	p.new.node.BeginHandover(p.toOld) // and now hands over itself
+	p.new.node.Yield(0)
+	wantReady(p.new, 503, "drained\n")
 }
 
 // A request id counts at both processes: one that a slow client gives to the old process after the new one has taken over, and
--- a/node/ending.go
+++ b/node/ending.go
@@ -51,7 +51,7 @@
 	n.drainAt = at
 	n.shortenAllDeadlines()
 	if n.stopAt == 0 {
-		n.deadlines.set(&n.moveTimer, max(n.now, at+drainMoveDelay))
+		n.deadlines.set(&n.moveTimer, at+drainMoveDelay)
 	}
 }
 
@@ -97,13 +97,14 @@
 	}
 }
 
-// hastenMoves makes a drained node move a flow that was handed over in its turn. Without flows, the next step may be far off.
+// hastenMoves makes a drained node that has adopted a flow begin to move its flows. The next step may be far off, because it was
+// set when the node had none.
 func (n *Node) hastenMoves() {
 	if n.drainAt == 0 || n.stopAt > 0 {
 		return
 	}
 	next := max(n.now+moveInterval, n.drainAt+drainMoveDelay)
-	if n.moveTimer.position == 0 || n.moveTimer.at > next {
+	if n.moveTimer.at > next {
 		n.deadlines.set(&n.moveTimer, next)
 	}
 }
--- a/node/handover.go
+++ b/node/handover.go
@@ -31,13 +31,13 @@
 // handoverState is the state of a handover between two processes of this node.
 type handoverState struct {
 	peer          PeerProcess
-	isPredecessor bool // the peer process is the successor
-	joining       bool // successor that has not taken over yet
-	tookOverAt    int64
-	refused       bool // successor that the predecessor has given up on
-	isSuccessor   bool // this process started as a successor, so its first list is the one its predecessor used
-	stateSent     bool // predecessor that has sent its state
-	yielded       bool // predecessor whose successor has taken over
+	isPredecessor bool  // the peer process is the successor
+	joining       bool  // successor that has not taken over yet
+	tookOverAt    int64 // when this successor took over
+	refused       bool  // successor that the predecessor has given up on
+	isSuccessor   bool  // this process started as a successor, so its first list is the one its predecessor used
+	stateSent     bool  // predecessor that has sent its state
+	yielded       bool  // predecessor whose successor has taken over
 	inherited     *handover.State
 	updates       peerUpdates
 	timer         deadline
@@ -67,8 +67,6 @@
 	n.handover.peer = peer
 	n.handover.isPredecessor = true
 	n.handover.stateSent = false
-	n.handover.updates.clear(n)
-	n.commands.confirmed = 0
 	state := &handover.State{
 		Command: n.newestCommand(),
 		From:    n.listAddr,
@@ -161,7 +159,6 @@
 	}
 	if state.Command.Number > 0 { // an operator's command holds beyond the process that received it
 		n.ReceiveCommand(state.Command)
-		n.commands.confirmed = state.Command.Number
 	}
 	n.deadlines.set(&n.handover.timer, n.now+joinTimeout)
 	log.Printf("msg=joining hosts=%d rev=%d ids=%d drained=%t", len(state.List.Entries), state.List.Rev, len(state.IDs),
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -342,6 +342,32 @@
 	if len(peer.messages) != 1 || peer.messages[0].Yield.Room != 7 {
 		t.Fatal(peer.messages)
 	}
+	peer.messages, peer.refuses = nil, true
+	n.limits.IDs = handover.MaxIDsPerMessage + 1
+	predecessor.run(1, func() {
+		for i := range uint64(handover.MaxIDsPerMessage + 3) {
+			n.useRequestID(i + 1)
+			n.handover.updates.addDrain(fmt.Sprint(i % (maxDrainsPerMessage + 1)))
+		}
+	})
+	if at, ok := n.NextDeadline(); !ok || at > n.now+updateRetryInterval {
+		t.Fatal("not tried again in time")
+	}
+	peer.refuses = false
+	predecessor.run(updateRetryInterval, func() {})
+	if sent := peer.messages; len(sent) != 4 || len(sent[0].IDs) != handover.MaxIDsPerMessage || len(sent[1].IDs) != 1 ||
+		len(sent[2].Drains.UIDs) != maxDrainsPerMessage || len(sent[3].Drains.UIDs) != 1 {
+		t.Fatal(len(sent), "messages")
+	}
+	peer.refuses = true
+	predecessor.run(1, func() { n.Yield(8) })
+	predecessor.run(1, func() { n.PeerProcessGone() })
+	peer.messages, peer.refuses = nil, false
+	n.BeginHandover(peer)
+	predecessor.run(1, n.StateSent)
+	if sent := peer.messages; len(sent) != 1 || !sent[0].Leave {
+		t.Fatal("the next successor is told what the one before it was not:", sent)
+	}
 }
 
 // A new process that is told to stop while it joins leaves the clients to the old one. Before the fix it took over all the same
@@ -442,6 +468,15 @@
 	peerDrains(p.new, 9)
 	p.new.runUntil(p.new.node.now + 2*maxChangeDelay)
 	want(p.new, "s-0", balance.Draining) // no list of its own says otherwise
+	another := func(rev int64) {
+		p.new.run(1, func() { p.new.node.ApplyPeerDrains(handover.Drains{From: "another", Rev: rev, UIDs: []string{"s-0"}}) })
+	}
+	list(p.new, 10, "ready")
+	another(1) // revisions of two services are not compared
+	want(p.new, "s-0", balance.Draining)
+	another(99)
+	list(p.new, 11, "ready")
+	want(p.new, "s-0", balance.Up)
 }
 
 // A host that a whole list leaves out takes no new flows of the peer process either, unless only draining binds. Before the fix
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -60,10 +60,7 @@
 		if size <= 0 {
 			size = 1
 		}
-		state := listedState(entry.State)
-		if kind != balance.ListRemembered {
-			state = n.stateOf(entry.UID, state)
-		}
+		state := n.effectiveState(entry.UID, listedState(entry.State))
 		n.decider.ListEntry(&h.Server, state, size, entry.BootMs*ms)
 	}
 	n.decider.EndList(kind)
--- a/node/limits_handover.go
+++ b/node/limits_handover.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"log"
+
 	"coursewinch/cluster/permits"
 )
 
@@ -44,35 +46,30 @@
 	return left
 }
 
-// yieldLimits tells the concurrent limits that the successor process takes all new flows: no flow passes them here any
-// more, and permits that are given back belong to the successor.
-func (n *Node) yieldLimits() {
+// eachConcurrentLimit calls f for each limit on concurrent flows.
+func (n *Node) eachConcurrentLimit(f func(*permits.Permits)) {
 	if n.cluster == nil {
 		return
 	}
 	for _, limit := range n.cluster.limits {
 		if limit.concurrent != nil {
-			limit.concurrent.StopGranting()
+			f(limit.concurrent)
 		}
 	}
 }
 
+// yieldLimits tells the concurrent limits that the successor process takes all new flows: no flow passes them here any
+// more, and permits that are given back belong to the successor.
+func (n *Node) yieldLimits() { n.eachConcurrentLimit((*permits.Permits).StopGranting) }
+
+// resumeLimits makes this process admit flows under the concurrent limits again, because its successor has ended.
+func (n *Node) resumeLimits() { n.eachConcurrentLimit((*permits.Permits).ResumeGranting) }
+
 // ClusterAddressTakenOver is called when this process has bound the cluster address that another process of this node was bound
 // to before. That one may have voted for leases in the node's name until now.
-func (n *Node) ClusterAddressTakenOver(now int64) {
+func (n *Node) ClusterAddressTakenOver(now int64, address string) {
+	log.Printf("msg=cluster listen=%s", address)
 	if n.cluster != nil && n.cluster.leases != nil {
 		n.cluster.leases.Restart(now)
 	}
 }
-
-// resumeLimits makes this process admit flows under the fleet's limits again, because its successor has ended.
-func (n *Node) resumeLimits() {
-	if n.cluster == nil {
-		return
-	}
-	for _, limit := range n.cluster.limits {
-		if limit.concurrent != nil {
-			limit.concurrent.ResumeGranting()
-		}
-	}
-}
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -232,7 +232,7 @@
 	if _, ok := n.cluster.leases.Owned(0); !ok {
 		t.Fatal("the only node of a fleet owns all slots")
 	}
-	net.run(1, func() { n.ClusterAddressTakenOver(n.now) })
+	net.run(1, func() { n.ClusterAddressTakenOver(n.now, "a") })
 	boundAt := n.now
 	for n.now < boundAt+lease.VoteTerm {
 		if _, ok := n.cluster.leases.Owned(0); ok {
--- a/node/operators.go
+++ b/node/operators.go
@@ -160,7 +160,7 @@
 // the new one joins must not hold that up. PING is answered NO all the time.
 func (n *Node) tookOverDuringDrain() bool {
 	state := &n.handover
-	return n.state() == stateDrained && state.peer != nil && !state.isPredecessor && !state.joining && n.hasList() &&
+	return n.state() == stateDrained && state.peer != nil && !state.isPredecessor && n.hasList() &&
 		state.tookOverAt >= n.drainAt && n.now < n.drainAt+drainDuration
 }
 
--- a/node/peerdrains.go
+++ b/node/peerdrains.go
@@ -15,10 +15,9 @@
 
 // peerDrain is what the peer process's list says of a host that drains.
 type peerDrain struct {
-	from      string // address of the discovery service
-	rev       int64  // revision of the list
-	until     int64  // an older list counts again from then on, because a discovery that restarts begins with new revisions
-	overruled bool   // an older list of this process says that the host takes flows
+	from         string // address of the discovery service
+	rev          int64  // revision of the list
+	contradicted bool   // by an older list of this process, which says that the host takes flows
 }
 
 // announceDrains notes for the peer process which hosts of a list take no new flows. It is called before the list is applied.
@@ -52,7 +51,12 @@
 	}
 	var update discovery.List
 	for _, uid := range drains.UIDs {
-		n.peerDrains[uid] = &peerDrain{from: drains.From, rev: drains.Rev, until: n.now + maxChangeDelay}
+		drain := n.peerDrains[uid]
+		if drain == nil {
+			drain = &peerDrain{}
+			n.peerDrains[uid] = drain
+		}
+		drain.from, drain.rev = drains.From, drains.Rev
 		if h := n.hosts[uid]; h != nil && h.State == balance.Up {
 			update.Entries = append(update.Entries, n.entryInState(h, listedDraining))
 		}
@@ -60,46 +64,34 @@
 	if len(update.Entries) > 0 {
 		n.applyList(balance.ListRemembered, update)
 	}
-	if n.peerDrainTimer.position == 0 {
-		n.deadlines.set(&n.peerDrainTimer, n.now+maxChangeDelay)
-	}
+	n.deadlines.set(&n.peerDrainTimer, n.now+maxChangeDelay)
 }
 
-// stateOf returns the state of a host for which this process's list has the given one.
-func (n *Node) stateOf(uid string, listed balance.State) balance.State {
+// effectiveState returns the state of a host for which this process's list has the given one.
+func (n *Node) effectiveState(uid string, listed balance.State) balance.State {
 	drain := n.peerDrains[uid]
 	if drain == nil {
 		return listed
 	}
-	drain.overruled = listed == balance.Up && drain.from == n.listAddr && drain.rev > n.listRev && n.now < drain.until
-	if drain.overruled {
+	drain.contradicted = listed == balance.Up && drain.from == n.listAddr && drain.rev > n.listRev
+	if drain.contradicted {
 		return balance.Draining
 	}
 	return listed
 }
 
-// endPeerDrains forgets what the peer process said long ago. Hosts that take flows according to this process's own list do so
-// from now on, although that list is older.
+// endPeerDrains lets this process's own list decide about all hosts again, although it is older than what the peer process said.
+// By now a newer one would have come; a discovery that has restarted begins with lower revisions.
 func (n *Node) endPeerDrains() {
+	ended := n.peerDrains
+	n.peerDrains = nil
 	var update discovery.List
-	next := int64(0) // when the next one is forgotten
-	for _, uid := range slices.Sorted(maps.Keys(n.peerDrains)) {
-		drain := n.peerDrains[uid]
-		if n.now < drain.until {
-			if next == 0 || drain.until < next {
-				next = drain.until
-			}
-			continue
-		}
-		delete(n.peerDrains, uid)
-		if h := n.hosts[uid]; h != nil && drain.overruled {
+	for _, uid := range slices.Sorted(maps.Keys(ended)) {
+		if h := n.hosts[uid]; h != nil && ended[uid].contradicted {
 			update.Entries = append(update.Entries, n.entryInState(h, listedReady))
 		}
 	}
 	if len(update.Entries) > 0 {
 		n.applyList(balance.ListRemembered, update)
 	}
-	if next > 0 {
-		n.deadlines.set(&n.peerDrainTimer, next)
-	}
 }
--- a/node/updates.go
+++ b/node/updates.go
@@ -54,7 +54,7 @@
 	return true
 }
 
-// clear forgets all updates, because there is no peer process or it gets the whole State.
+// clear forgets all updates, because there is no peer process any more.
 func (u *peerUpdates) clear(n *Node) {
 	n.deadlines.cancel(&u.retry)
 	*u = peerUpdates{retry: u.retry}
