--- a/rehearsal/live/cluster_test.go
+++ b/rehearsal/live/cluster_test.go
@@ -26,8 +26,8 @@
 	failsSomeSeeds bool // some seeds miss it, so that live runs may; TestSeedsThatServeTooLittle checks both
 }
 
-// overload is ten times the usual demand, with faults.
-type overload struct {
+// overloadScript is ten times the usual demand, with faults.
+type overloadScript struct {
 	nodes        int
 	want         []minServed
 	changes      []string // of the script
@@ -35,7 +35,7 @@
 }
 
 // partitionedLinks splits the links of six processes in two, joins them, and then loses four of ten datagrams.
-var partitionedLinks = overload{
+var partitionedLinks = overloadScript{
 	nodes: 6,
 	want:  []minServed{{from: 16, to: 21, share: 0.5, failsSomeSeeds: true}, {from: 23, to: 30, share: 0.6}},
 	changes: []string{"nodes.0.count=2", "nodes.1.count=2", "nodes.2.count=2", "length=\"30s\"",
@@ -45,7 +45,7 @@
 
 // hostLossAndMassReconnect gives one of six processes five times the traffic of the others. The datagrams of one are lost,
 // then a third of the hosts dies and comes back cold, then every client reconnects within a second.
-var hostLossAndMassReconnect = overload{
+var hostLossAndMassReconnect = overloadScript{
 	nodes: 6,
 	want:  []minServed{{from: 21, to: 27, share: 0.35}, {from: 31, to: 36, share: 0.35, failsSomeSeeds: true}},
 	changes: []string{"nodes.0.count=1", "nodes.1.count=2", "nodes.2.count=3", "demand.skew={north=1.0,port=0.4,town=0.6}",
@@ -55,7 +55,7 @@
 }
 
 // load returns the script.
-func (o overload) load(t *testing.T) *scenario.Script {
+func (o overloadScript) load(t *testing.T) *scenario.Script {
 	t.Helper()
 	s, err := scenario.LoadWithOverrides("fleet-overload", append([]string{"cluster.on=true", "demand.rate=25", "node.max_wait=\"1.5s\"",
 		"length=\"24s\""}, o.changes...))
@@ -109,7 +109,7 @@
 
 // playOverload plays a script with processes that have links, and first in virtual time. Of the live run, it checks the
 // shares that hold in each seed.
-func playOverload(t *testing.T, o overload) (*record.Run, *nodeMetrics) {
+func playOverload(t *testing.T, o overloadScript) (*record.Run, *nodeMetrics) {
 	t.Helper()
 	s := o.load(t)
 	for seed := range uint64(virtualSeeds) {
@@ -135,7 +135,7 @@
 // TestSeedsThatServeTooLittle checks the shares that some seeds miss, in those seeds and live. It guards against nodes that
 // fill hosts beyond what they can do when many clients come at once, and serve next to nothing for seconds after.
 func TestSeedsThatServeTooLittle(t *testing.T) {
-	scripts := []overload{partitionedLinks, hostLossAndMassReconnect}
+	scripts := []overloadScript{partitionedLinks, hostLossAndMassReconnect}
 	for _, o := range scripts {
 		s := o.load(t)
 		for _, seed := range o.failingSeeds {
@@ -214,7 +214,7 @@
 // is killed and restarts without state, a second process runs under the name of one, one sends false reports, and
 // datagrams are corrupted, duplicated, reordered and replayed.
 func TestNodePausesAndCorruptedDatagrams(t *testing.T) {
-	_, metrics := playOverload(t, overload{nodes: 5, want: []minServed{{from: 18, to: 24, share: 0.6}}, changes: []string{
+	_, metrics := playOverload(t, overloadScript{nodes: 5, want: []minServed{{from: 18, to: 24, share: 0.6}}, changes: []string{
 		"nodes.0.count=1", "nodes.1.count=2", "nodes.2.count=2", `faults=[{at="7s",kind="node_pause",nodes=["n-1","n-2"],for="3s"},{at="8s",kind="link_liar",nodes=["n-0"],for="5s"},
 		{at="9s",kind="node_twin",nodes=["n-3"],for="5s"},{at="11s",kind="node_kill",nodes=["n-4"],for="700ms"},
 		{at="8s",kind="link_bent",share=1.0,size=0.3,for="6s"},{at="8s",kind="link_again",share=1.0,size=0.5,for="6s"},
